--- /dev/null
+++ b/core/model/size.go
@@ -0,0 +1,83 @@
+package model
+
+import "fmt"
+
+type (
+	// Millicores is an amount of processor in thousandths of a core.
+	Millicores int64
+	// Mebibytes is an amount of memory in MiB.
+	Mebibytes int64
+	// Accelerators is a number of accelerators.
+	Accelerators int64
+)
+
+// Size is an amount of each resource, of a task or of a worker.
+type Size struct {
+	CPU    Millicores   `json:"cpu" cbor:"1,keyasint"`
+	Memory Mebibytes    `json:"memory" cbor:"2,keyasint"`
+	Accel  Accelerators `json:"accel,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// Plus returns the sum of s and o.
+func (s Size) Plus(o Size) Size {
+	return Size{CPU: s.CPU + o.CPU, Memory: s.Memory + o.Memory, Accel: s.Accel + o.Accel}
+}
+
+// Minus returns s less o; a dimension may become negative.
+func (s Size) Minus(o Size) Size {
+	return Size{CPU: s.CPU - o.CPU, Memory: s.Memory - o.Memory, Accel: s.Accel - o.Accel}
+}
+
+// Times returns n times s.
+func (s Size) Times(n int64) Size {
+	return Size{CPU: s.CPU * Millicores(n), Memory: s.Memory * Mebibytes(n), Accel: s.Accel * Accelerators(n)}
+}
+
+// Percent returns p percent of the processor and memory of s, rounded up. Accelerators are
+// whole devices, so their number does not scale.
+func (s Size) Percent(p int64) Size {
+	return Size{
+		CPU:    Millicores((int64(s.CPU)*p + 99) / 100),
+		Memory: Mebibytes((int64(s.Memory)*p + 99) / 100),
+		Accel:  s.Accel,
+	}
+}
+
+// Max returns the larger of s and o in each dimension.
+func (s Size) Max(o Size) Size {
+	return Size{CPU: max(s.CPU, o.CPU), Memory: max(s.Memory, o.Memory), Accel: max(s.Accel, o.Accel)}
+}
+
+// Fits reports whether s fits into free in every dimension.
+func (s Size) Fits(free Size) bool {
+	return s.CPU <= free.CPU && s.Memory <= free.Memory && s.Accel <= free.Accel
+}
+
+// IsZero reports whether s is zero in every dimension.
+func (s Size) IsZero() bool { return s == Size{} }
+
+// Share returns the largest fraction, over the dimensions, of total that s takes.
+func (s Size) Share(total Size) float64 {
+	return max(ratio(int64(s.CPU), int64(total.CPU)),
+		ratio(int64(s.Memory), int64(total.Memory)),
+		ratio(int64(s.Accel), int64(total.Accel)))
+}
+
+// String prints the size as "1000m 512Mi", with accelerators where there are any.
+func (s Size) String() string {
+	text := fmt.Sprintf("%dm %dMi", s.CPU, s.Memory)
+	if s.Accel != 0 {
+		text += fmt.Sprintf(" %d accel", s.Accel)
+	}
+	return text
+}
+
+func ratio(part, whole int64) float64 {
+	if part == 0 {
+		return 0
+	}
+	if whole <= 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
