Add the replicated state of a zone and of the cell

core/state holds the two deterministic state machines that the log drives: Zone (adopted configuration, jobs, tasks, assignments, records of non-idempotent requests) and Cell (configuration with compare-and-set and submission keys).

--- /dev/null
+++ b/core/state/attempt_test.go
@@ -0,0 +1,42 @@
+package state_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+	"vanillabridge/core/state"
+)
+
+// Guards against an attempt number that is given out twice: a late message about the first
+// attempt would then end or confirm the second.
+func TestAttemptsNeverRepeat(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zone := state.NewZone()
+		job := model.NewJobID("a", state.RunLabel)
+		service := model.NewBox(model.Service{})
+		zone.Apply(state.AddJob{Job: job, Work: service, Count: 1})
+		id := model.TaskID{Job: job}
+		given := map[int]bool{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			attempt := rapid.IntRange(0, 3).Draw(t, "attempt")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0, 1:
+				got, _ := zone.Apply(state.Assign{Items: []state.Assignment{{Task: id, Attempt: attempt, Worker: "w"}}})
+				if !got.Taken[0] {
+					continue
+				}
+				if given[attempt] {
+					t.Fatalf("attempt %d was given out twice", attempt)
+				}
+				given[attempt] = true
+			case 2:
+				zone.Apply(state.Finish{Items: []state.TaskEnd{{Task: id, Attempt: attempt, Next: proto.TaskWaiting}}})
+			default:
+				zone.Apply(state.AddJob{Job: job, Work: service, Count: rapid.IntRange(0, 1).Draw(t, "count")})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/state/jobs.go
@@ -0,0 +1,213 @@
+package state
+
+import (
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+)
+
+func (z *Zone) addJob(c AddJob) (Result, []Change) {
+	job, ok := z.data.Jobs[c.Job]
+	if !ok {
+		z.data.Jobs[c.Job] = newJob(c)
+		return Result{Changed: true}, []Change{JobAdded{Job: c.Job}}
+	}
+	if c.Work.Service == nil || job.Work.Service == nil {
+		return Result{Reason: "the job exists"}, nil
+	}
+	z.updateService(job, c)
+	return Result{Changed: true}, []Change{JobAdded{Job: c.Job}}
+}
+
+func newJob(c AddJob) *Job {
+	job := &Job{ID: c.Job, Work: c.Work, Accepted: c.At, Open: c.Count}
+	job.Tasks = make([]Task, c.Count)
+	for i := range job.Tasks {
+		job.Tasks[i] = newTask(c.At)
+	}
+	if c.Count == 0 {
+		job.Ended = c.At
+	}
+	return job
+}
+
+func newTask(at clock.Millis) Task {
+	return Task{Phase: proto.TaskWaiting, Accepted: at, Queued: at}
+}
+
+// updateService gives a service its new description. Tasks beyond the new count end: those
+// that wait at once, those on a worker when the worker has stopped them. Tasks that had been
+// cancelled and are wanted again wait again.
+func (z *Zone) updateService(job *Job, c AddJob) {
+	job.Work = c.Work
+	job.Cancelled = false
+	job.Reason = ""
+	job.Ended = 0
+	for len(job.Tasks) < c.Count {
+		job.Tasks = append(job.Tasks, newTask(c.At))
+		job.Open++
+	}
+	for i := range job.Tasks {
+		t := &job.Tasks[i]
+		t.Surplus = i >= c.Count
+		switch {
+		case t.Surplus && t.Phase == proto.TaskWaiting:
+			job.end(t, proto.TaskCancelled, c.At)
+		case !t.Surplus && t.IsEnded():
+			attempt := t.Attempt
+			*t = newTask(c.At)
+			t.Attempt = attempt // attempts of one task never repeat a number
+			job.Open++
+		}
+	}
+}
+
+func (z *Zone) cancelJob(c CancelJob) (Result, []Change) {
+	job, ok := z.data.Jobs[c.Job]
+	if !ok {
+		return Result{Reason: "no such job"}, nil
+	}
+	if job.Cancelled || job.Open == 0 {
+		return Result{Reason: "the job has ended"}, nil
+	}
+	job.Cancelled = true
+	job.Reason = c.Reason
+	for i := range job.Tasks {
+		if t := &job.Tasks[i]; t.Phase == proto.TaskWaiting {
+			job.end(t, proto.TaskCancelled, c.At)
+		}
+	}
+	return Result{Changed: true}, []Change{JobCancelled{Job: c.Job}}
+}
+
+func (z *Zone) noteJob(c NoteJob) (Result, []Change) {
+	job, ok := z.data.Jobs[c.Job]
+	if !ok || job.Cancelled || job.Open == 0 || job.Reason == c.Reason {
+		return Result{Reason: "nothing to note"}, nil
+	}
+	job.Reason = c.Reason
+	return Result{Changed: true}, nil
+}
+
+// end moves a task to a final phase.
+func (j *Job) end(t *Task, phase proto.TaskPhase, at clock.Millis) {
+	t.Phase = phase
+	t.Ended = at
+	j.Open--
+	if j.Open == 0 {
+		j.Ended = at
+	}
+}
+
+// Counts returns the number of tasks in each phase. The waiting tasks of a job that cannot
+// run count as impossible.
+func (j *Job) Counts() proto.Counts {
+	var c proto.Counts
+	for i := range j.Tasks {
+		switch j.Tasks[i].Phase {
+		case proto.TaskWaiting:
+			c.Waiting++
+		case proto.TaskAssigned:
+			c.Assigned++
+		case proto.TaskRunning:
+			c.Running++
+		case proto.TaskDone:
+			c.Done++
+		case proto.TaskFailed:
+			c.Failed++
+		case proto.TaskCancelled:
+			c.Cancelled++
+		}
+	}
+	if j.Reason != "" && !j.Cancelled {
+		c.Impossible, c.Waiting = c.Waiting, 0
+	}
+	return c
+}
+
+func (z *Zone) assign(c Assign) (Result, []Change) {
+	result := Result{Taken: make([]bool, len(c.Items))}
+	var changes []Change
+	for i, a := range c.Items {
+		if !z.assignOne(c, a) {
+			continue
+		}
+		result.Taken[i] = true
+		result.Changed = true
+		changes = append(changes, TaskAssigned{Assignment: a})
+	}
+	return result, changes
+}
+
+// assignOne refuses an assignment that was decided on an older state: only a waiting task
+// can be assigned, and only under the next attempt number.
+func (z *Zone) assignOne(c Assign, a Assignment) bool {
+	t, ok := z.Task(a.Task)
+	if !ok || t.Phase != proto.TaskWaiting || t.Attempt+1 != a.Attempt {
+		return false
+	}
+	t.Phase = proto.TaskAssigned
+	t.Attempt = a.Attempt
+	t.Worker = a.Worker
+	t.Incarnation = a.Incarnation
+	t.Epoch = c.Epoch
+	z.hold(a.Worker, a.Task)
+	return true
+}
+
+func (z *Zone) start(c Start) (Result, []Change) {
+	result := Result{Taken: make([]bool, len(c.Items))}
+	var changes []Change
+	for i, s := range c.Items {
+		t, ok := z.Task(s.Task)
+		if !ok || t.Phase != proto.TaskAssigned || t.Attempt != s.Attempt {
+			continue
+		}
+		t.Phase = proto.TaskRunning
+		t.Started = c.At
+		result.Taken[i] = true
+		result.Changed = true
+		changes = append(changes, TaskStarted{Start: s, Worker: t.Worker, Waited: c.At - t.Queued})
+	}
+	return result, changes
+}
+
+func (z *Zone) finish(c Finish) (Result, []Change) {
+	result := Result{Taken: make([]bool, len(c.Items))}
+	var changes []Change
+	for i, e := range c.Items {
+		t, ok := z.Task(e.Task)
+		if !ok || !t.IsHeld() || t.Attempt != e.Attempt {
+			continue
+		}
+		worker := t.Worker
+		z.endAttempt(z.data.Jobs[e.Task.Job], t, e, c.At)
+		result.Taken[i] = true
+		result.Changed = true
+		changes = append(changes, TaskEnded{End: e, Worker: worker})
+	}
+	return result, changes
+}
+
+func (z *Zone) endAttempt(job *Job, t *Task, e TaskEnd, at clock.Millis) {
+	z.release(t.Worker, e.Task)
+	t.Reason = e.Reason
+	t.Saved = max(t.Saved, e.Saved)
+	next := e.Next
+	if next == proto.TaskWaiting && (job.Cancelled || t.Surplus) {
+		next = proto.TaskCancelled
+	}
+	if next == proto.TaskWaiting {
+		t.Phase = proto.TaskWaiting
+		t.Queued = at
+		t.Worker = ""
+		return
+	}
+	job.end(t, next, at)
+}
+
+// RunLabel is the run label under which the tasks of a service are recorded in each zone.
+const RunLabel = "service"
+
+// ServiceJob returns the identifier under which a service's tasks are recorded in each zone.
+func ServiceJob(name string) model.JobID { return model.NewJobID(name, RunLabel) }
--- /dev/null
+++ b/core/state/zone_test.go
@@ -0,0 +1,213 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+	"vanillabridge/core/state"
+)
+
+// genCommand draws commands over few names, so that they meet each other.
+func genCommand(now clock.Millis) *rapid.Generator[state.Command] {
+	job := rapid.Custom(func(t *rapid.T) model.JobID {
+		return model.NewJobID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), "r")
+	})
+	task := rapid.Custom(func(t *rapid.T) model.TaskID {
+		return model.TaskID{Job: job.Draw(t, "job"), Index: rapid.IntRange(-1, 3).Draw(t, "index")}
+	})
+	attempt := rapid.IntRange(0, 4)
+	key := rapid.Custom(func(t *rapid.T) state.RecordKey {
+		return state.RecordKey{Caller: "c", Key: rapid.SampledFrom([]string{"k", "l"}).Draw(t, "key")}
+	})
+	request := rapid.SampledFrom([]string{"q", "r", "s"})
+	return rapid.Custom(func(t *rapid.T) state.Command {
+		switch rapid.IntRange(0, 10).Draw(t, "kind") {
+		case 0:
+			return state.Adopt{Version: rapid.Uint64Range(0, 5).Draw(t, "version"), At: now}
+		case 1:
+			work := model.NewBox(model.Batch{Run: "r"})
+			if rapid.Bool().Draw(t, "service") {
+				work = model.NewBox(model.Service{})
+			}
+			return state.AddJob{Job: job.Draw(t, "job"), Work: work, Count: rapid.IntRange(0, 3).Draw(t, "count"), At: now}
+		case 2:
+			return state.CancelJob{Job: job.Draw(t, "job"), Reason: "asked", At: now}
+		case 3:
+			return state.NoteJob{Job: job.Draw(t, "job"), Reason: rapid.SampledFrom([]string{"", "too large"}).Draw(t, "reason")}
+		case 4:
+			return state.Assign{At: now, Items: []state.Assignment{{
+				Task: task.Draw(t, "task"), Attempt: attempt.Draw(t, "attempt"),
+				Worker: model.WorkerID(rapid.SampledFrom([]string{"v", "w"}).Draw(t, "worker")),
+			}}}
+		case 5:
+			return state.Start{At: now, Items: []state.TaskStart{{Task: task.Draw(t, "task"), Attempt: attempt.Draw(t, "attempt")}}}
+		case 6:
+			next := rapid.SampledFrom([]proto.TaskPhase{proto.TaskWaiting, proto.TaskDone, proto.TaskFailed}).Draw(t, "next")
+			return state.Finish{At: now, Items: []state.TaskEnd{{Task: task.Draw(t, "task"), Attempt: attempt.Draw(t, "attempt"), Next: next}}}
+		case 7:
+			return state.OpenRecord{Key: key.Draw(t, "key"), Request: request.Draw(t, "request"), Deadline: now + 2*clock.Second, At: now}
+		case 8:
+			return state.CloseRecord{Key: key.Draw(t, "key"), Request: request.Draw(t, "request"), Answer: state.Answer{Status: 200}, At: now}
+		case 9:
+			return state.DropRecord{Key: key.Draw(t, "key"), Request: request.Draw(t, "request")}
+		default:
+			return state.Expire{At: now}
+		}
+	})
+}
+
+// Guards against replicas that diverge: after the same commands, with a snapshot and restore
+// and a trip through the codec at any point, they must hold the same bytes.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, two := state.NewZone(), state.NewZone()
+		now := clock.Millis(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += clock.Millis(rapid.Int64Range(0, 5000).Draw(t, "pause"))
+			c := genCommand(now).Draw(t, "command")
+			gotOne, _ := one.Apply(c)
+			gotTwo, _ := two.Apply(throughCodec(t, c))
+			if diff := cmp.Diff(gotOne, gotTwo); diff != "" {
+				t.Fatalf("results of %#v differ (-one +two):\n%s", c, diff)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				two = restored(t, two)
+			}
+		}
+		if diff := cmp.Diff(snapshot(t, one), snapshot(t, two)); diff != "" {
+			t.Fatalf("snapshots differ (-one +two):\n%s", diff)
+		}
+	})
+}
+
+// Guards against the faults that would run a task twice or lose it: an attempt number given
+// out twice, an assignment of a task that a worker still holds, and an ended batch task that
+// comes back; and against a configuration that goes back.
+func TestZoneInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zone := state.NewZone()
+		given := map[string]bool{}
+		now, version := clock.Millis(0), uint64(0)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += clock.Millis(rapid.Int64Range(0, 500).Draw(t, "pause"))
+			c := genCommand(now).Draw(t, "command")
+			before := phases(zone)
+			_, changes := zone.Apply(c)
+			checkAssignments(t, changes, before, given)
+			checkEnds(t, zone, before)
+			v, _ := zone.Config()
+			if v < version {
+				t.Fatalf("version went from %d back to %d", version, v)
+			}
+			version = v
+		}
+	})
+}
+
+func checkAssignments(t *rapid.T, changes []state.Change, before map[model.TaskID]state.Task, given map[string]bool) {
+	for _, change := range changes {
+		assigned, ok := change.(state.TaskAssigned)
+		if !ok {
+			continue
+		}
+		a := assigned.Assignment
+		if phase := before[a.Task].Phase; phase != proto.TaskWaiting {
+			t.Fatalf("%s was assigned in phase %s", a.Task, phase)
+		}
+		name := fmt.Sprintf("%s attempt %d", a.Task, a.Attempt)
+		if given[name] {
+			t.Fatalf("%s was given out twice", name)
+		}
+		given[name] = true
+	}
+}
+
+func checkEnds(t *rapid.T, zone *state.Zone, before map[model.TaskID]state.Task) {
+	for id, old := range before {
+		job, ok := zone.Job(id.Job)
+		if !ok || job.Work.Service != nil {
+			continue
+		}
+		if got, _ := zone.Task(id); old.IsEnded() && got.Phase != old.Phase {
+			t.Fatalf("%s went from %s to %s", id, old.Phase, got.Phase)
+		}
+	}
+}
+
+// Guards against a second run of a non-idempotent request: between the first "fresh" and the
+// end of the retention only the request that got it, or one after a confirmed "no byte was
+// sent", may hear "fresh" again.
+func TestRecordGivesOneRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zone := state.NewZone()
+		key := state.RecordKey{Caller: "c", Key: "k"}
+		runner := ""
+		now := clock.Millis(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += clock.Millis(rapid.Int64Range(0, 3000).Draw(t, "pause"))
+			request := rapid.SampledFrom([]string{"q", "r", "s"}).Draw(t, "request")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				got, _ := zone.Apply(state.OpenRecord{Key: key, Request: request, Deadline: now + 2000, At: now})
+				if got.Record == state.RecordFresh && runner != "" && runner != request {
+					t.Fatalf("request %s may run after %s", request, runner)
+				}
+				if got.Record == state.RecordFresh {
+					runner = request
+				}
+			case 1:
+				zone.Apply(state.CloseRecord{Key: key, Request: request, At: now})
+			case 2:
+				if got, _ := zone.Apply(state.DropRecord{Key: key, Request: request}); got.Changed {
+					runner = ""
+				}
+			default:
+				zone.Apply(state.Expire{At: now})
+			}
+		}
+	})
+}
+
+func phases(zone *state.Zone) map[model.TaskID]state.Task {
+	all := map[model.TaskID]state.Task{}
+	zone.Jobs(func(j *state.Job) {
+		for i, task := range j.Tasks {
+			all[model.TaskID{Job: j.ID, Index: i}] = task
+		}
+	})
+	return all
+}
+
+func throughCodec(t *rapid.T, c state.Command) state.Command {
+	data, err := state.EncodeCommand(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := state.DecodeCommand(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return decoded
+}
+
+func snapshot(t *rapid.T, zone *state.Zone) []byte {
+	data, err := zone.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func restored(t *rapid.T, zone *state.Zone) *state.Zone {
+	fresh := state.NewZone()
+	if err := fresh.Restore(snapshot(t, zone)); err != nil {
+		t.Fatal(err)
+	}
+	return fresh
+}
