Connect the instances with JSON-RPC over TCP

vbridged/peer dials each other instance once, frames messages with a length of at most 16 MiB (the codecs of the library accept any length), pings every second and gives a silent connection up after at most 3 s, carries the error sentinels over the wire, and counts bytes by purpose and by region crossing.

--- /dev/null
+++ b/vbridged/peer/link.go
@@ -0,0 +1,202 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"k8s.io/klog/v2"
+
+	"vanillabridge/core/fault"
+)
+
+// Timeouts of a connection. A cut is noticed after pingEvery + pingTimeout.
+const (
+	dialTimeout  = 2 * time.Second
+	redialPause  = 200 * time.Millisecond
+	acceptPause  = 100 * time.Millisecond
+	pingEvery    = time.Second
+	pingTimeout  = 2 * time.Second
+	readTimeout  = 5 * time.Second
+	writeTimeout = 2 * time.Second
+)
+
+// queueLength bounds the notifications that wait for a slow or unreachable peer. The
+// protocols that use them repeat what is lost.
+const queueLength = 1024
+
+// link is the dialling side of the connection to one peer.
+type link struct {
+	net   *Net
+	to    Address
+	queue chan message
+
+	mu      sync.Mutex
+	current *jsonrpc2.Conn // nil while the connection is down
+}
+
+type message struct {
+	method string
+	params json.RawMessage
+}
+
+func newLink(n *Net, to Address) *link {
+	return &link{net: n, to: to, queue: make(chan message, queueLength)}
+}
+
+// run keeps one connection up until the Net closes.
+func (l *link) run() {
+	for l.net.ctx.Err() == nil {
+		c, err := l.dial()
+		if err != nil {
+			klog.V(2).InfoS("dial of a peer failed", "peer", l.to.Instance, "address", l.to.Peer, "error", err.Error())
+			l.drop()
+			l.pause()
+			continue
+		}
+		l.set(c)
+		l.serve(c)
+		l.set(nil)
+		_ = c.Close()
+	}
+}
+
+func (l *link) dial() (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(l.net.ctx, dialTimeout)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.to.Peer)
+	if err != nil {
+		return nil, err
+	}
+	if l.net.tls != nil {
+		raw = tls.Client(raw, l.net.tls.Client())
+	}
+	crosses := l.net.crosses(l.to.Region)
+	count := func(sent, received int) { l.net.bytes.wire(crosses, sent, received) }
+	timed := timedConn{Conn: raw, read: readTimeout, write: writeTimeout, count: count}
+	stream := jsonrpc2.NewBufferedStream(timed, codec{})
+	c := jsonrpc2.NewConn(l.net.ctx, stream, refuse{}, jsonrpc2.SetLogger(quiet{}))
+	h := hello{Instance: l.net.self.Instance, Region: l.net.self.Region}
+	if err := c.Call(ctx, methodHello, h, nil); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// serve sends queued notifications and pings until the connection fails.
+func (l *link) serve(c *jsonrpc2.Conn) {
+	failed := make(chan struct{})
+	go l.ping(c, failed)
+	for {
+		select {
+		case <-l.net.ctx.Done():
+			return
+		case <-c.DisconnectNotify():
+			return
+		case <-failed:
+			return
+		case m := <-l.queue:
+			if err := c.Notify(l.net.ctx, m.method, m.params); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// ping closes failed once the peer stops answering. The pings also keep the read deadlines
+// of both sides from passing on a quiet connection.
+func (l *link) ping(c *jsonrpc2.Conn, failed chan<- struct{}) {
+	defer close(failed)
+	ticker := time.NewTicker(pingEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.net.ctx.Done():
+			return
+		case <-c.DisconnectNotify():
+			return
+		case <-ticker.C:
+		}
+		ctx, cancel := context.WithTimeout(l.net.ctx, pingTimeout)
+		err := c.Call(ctx, methodPing, nil, nil)
+		cancel()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// drop empties the queue: old messages of the log protocol are of no use after a cut.
+func (l *link) drop() {
+	for {
+		select {
+		case <-l.queue:
+		default:
+			return
+		}
+	}
+}
+
+func (l *link) pause() {
+	select {
+	case <-l.net.ctx.Done():
+	case <-time.After(redialPause):
+	}
+}
+
+func (l *link) set(c *jsonrpc2.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = c
+}
+
+func (l *link) conn() *jsonrpc2.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
+
+func (l *link) notify(method string, params any) {
+	data, err := json.Marshal(params)
+	if err != nil {
+		klog.ErrorS(err, "encode a notification failed", "method", method)
+		return
+	}
+	select {
+	case l.queue <- message{method: method, params: data}:
+		l.net.bytes.purpose(method, l.net.crosses(l.to.Region), len(data))
+	default:
+	}
+}
+
+func (l *link) call(ctx context.Context, method string, params, result any) error {
+	c := l.conn()
+	if c == nil {
+		return fault.Wrap(fault.ErrUnavailable, "call %s at %s: not connected", method, l.to.Instance)
+	}
+	data, err := json.Marshal(params)
+	if err != nil {
+		return fault.Wrap(fault.ErrInvalid, "call %s: encode: %v", method, err)
+	}
+	l.net.bytes.purpose(method, l.net.crosses(l.to.Region), len(data))
+	err = c.Call(ctx, method, json.RawMessage(data), result)
+	if err == nil {
+		return nil
+	}
+	if answered := (*jsonrpc2.Error)(nil); errors.As(err, &answered) {
+		return fault.Wrap(fromWire(answered), "call %s at %s", method, l.to.Instance)
+	}
+	return fault.Wrap(fault.ErrUnknown, "call %s at %s: %v", method, l.to.Instance, err)
+}
+
+// refuse answers nothing: the accepting side sends no requests over this connection.
+type refuse struct{}
+
+// Handle ignores the request.
+func (refuse) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
