state: add batches, failed jobs and retention of configured runs

A leader's decisions of one round go into one log entry as a Batch. CancelJob can say that the job failed for good. Expire keeps ended runs that the configuration still names: forgetting one would start it again.

An assignment needs an attempt number above the last one instead of exactly the next: the scheduler counts an attempt also when its commit was refused.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -27,11 +27,13 @@
 	At    clock.Millis `cbor:"4,keyasint"`
 }
 
-// CancelJob cancels all tasks of a job that have not ended.
+// CancelJob ends all tasks of a job: those that wait at once, those on a worker when the
+// worker has stopped them. The tasks end as cancelled, or as failed if the job failed for good.
 type CancelJob struct {
 	Job    model.JobID  `cbor:"1,keyasint"`
 	Reason string       `cbor:"2,keyasint"`
 	At     clock.Millis `cbor:"3,keyasint"`
+	Failed bool         `cbor:"4,keyasint,omitempty"`
 }
 
 // NoteJob records why a job cannot run at present; an empty reason clears the note.
@@ -113,9 +115,13 @@
 
 // Expire marks overdue records as unknown and forgets old records and old ended jobs.
 type Expire struct {
-	At clock.Millis `cbor:"1,keyasint"`
+	At   clock.Millis  `cbor:"1,keyasint"`
+	Keep []model.JobID `cbor:"2,keyasint,omitempty"` // jobs that the configuration names, and would start again
 }
 
+// Batch applies several commands in order in one log entry.
+type Batch struct{ Commands []Command }
+
 func (Adopt) command()       {}
 func (AddJob) command()      {}
 func (CancelJob) command()   {}
@@ -127,6 +133,7 @@
 func (CloseRecord) command() {}
 func (DropRecord) command()  {}
 func (Expire) command()      {}
+func (Batch) command()       {}
 
 // envelope carries a command through the codec, which has no sum types; one field is set.
 type envelope struct {
@@ -141,10 +148,22 @@
 	CloseRecord *CloseRecord `cbor:"9,keyasint,omitempty"`
 	DropRecord  *DropRecord  `cbor:"10,keyasint,omitempty"`
 	Expire      *Expire      `cbor:"11,keyasint,omitempty"`
+	Batch       []envelope   `cbor:"12,keyasint,omitempty"`
 }
 
 // EncodeCommand encodes c for the log.
-func EncodeCommand(c Command) ([]byte, error) {
+func EncodeCommand(c Command) ([]byte, error) { return Encode(wrap(c)) }
+
+// DecodeCommand is the inverse of EncodeCommand.
+func DecodeCommand(data []byte) (Command, error) {
+	var e envelope
+	if err := Decode(data, &e); err != nil {
+		return nil, err
+	}
+	return e.command()
+}
+
+func wrap(c Command) envelope {
 	var e envelope
 	switch c := c.(type) {
 	case Adopt:
@@ -169,16 +188,15 @@
 		e.DropRecord = &c
 	case Expire:
 		e.Expire = &c
+	case Batch:
+		for _, item := range c.Commands {
+			e.Batch = append(e.Batch, wrap(item))
+		}
 	}
-	return Encode(e)
+	return e
 }
 
-// DecodeCommand is the inverse of EncodeCommand.
-func DecodeCommand(data []byte) (Command, error) {
-	var e envelope
-	if err := Decode(data, &e); err != nil {
-		return nil, err
-	}
+func (e envelope) command() (Command, error) {
 	switch {
 	case e.Adopt != nil:
 		return *e.Adopt, nil
@@ -202,7 +220,21 @@
 		return *e.DropRecord, nil
 	case e.Expire != nil:
 		return *e.Expire, nil
+	case e.Batch != nil:
+		return e.batch()
 	default:
 		return nil, fault.Wrap(fault.ErrCorrupt, "command of unknown kind")
 	}
 }
+
+func (e envelope) batch() (Command, error) {
+	batch := Batch{Commands: make([]Command, 0, len(e.Batch))}
+	for _, item := range e.Batch {
+		c, err := item.command()
+		if err != nil {
+			return nil, err
+		}
+		batch.Commands = append(batch.Commands, c)
+	}
+	return batch, nil
+}
--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -41,6 +41,7 @@
 func (z *Zone) updateService(job *Job, c AddJob) {
 	job.Work = c.Work
 	job.Cancelled = false
+	job.Failed = false
 	job.Reason = ""
 	job.Ended = 0
 	for len(job.Tasks) < c.Count {
@@ -71,10 +72,11 @@
 		return Result{Reason: "the job has ended"}, nil
 	}
 	job.Cancelled = true
+	job.Failed = c.Failed
 	job.Reason = c.Reason
 	for i := range job.Tasks {
 		if t := &job.Tasks[i]; t.Phase == proto.TaskWaiting {
-			job.end(t, proto.TaskCancelled, c.At)
+			job.end(t, job.last(), c.At)
 		}
 	}
 	return Result{Changed: true}, []Change{JobCancelled{Job: c.Job}}
@@ -99,6 +101,14 @@
 	}
 }
 
+// last is the phase in which tasks end that do not run to their end.
+func (j *Job) last() proto.TaskPhase {
+	if j.Failed {
+		return proto.TaskFailed
+	}
+	return proto.TaskCancelled
+}
+
 // Counts returns the number of tasks in each phase. The waiting tasks of a job that cannot
 // run count as impossible.
 func (j *Job) Counts() proto.Counts {
@@ -140,10 +150,10 @@
 }
 
 // assignOne refuses an assignment that was decided on an older state: only a waiting task
-// can be assigned, and only under the next attempt number.
+// can be assigned, and only under a higher attempt number.
 func (z *Zone) assignOne(c Assign, a Assignment) bool {
 	t, ok := z.Task(a.Task)
-	if !ok || t.Phase != proto.TaskWaiting || t.Attempt+1 != a.Attempt {
+	if !ok || t.Phase != proto.TaskWaiting || a.Attempt <= t.Attempt {
 		return false
 	}
 	t.Phase = proto.TaskAssigned
@@ -195,7 +205,7 @@
 	t.Saved = max(t.Saved, e.Saved)
 	next := e.Next
 	if next == proto.TaskWaiting && (job.Cancelled || t.Surplus) {
-		next = proto.TaskCancelled
+		next = job.last()
 	}
 	if next == proto.TaskWaiting {
 		t.Phase = proto.TaskWaiting
--- a/core/state/records.go
+++ b/core/state/records.go
@@ -1,6 +1,9 @@
 package state
 
-import "vanillabridge/core/clock"
+import (
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+)
 
 // maxRecords bounds the memory of a zone's records. Forgetting one early would allow a second
 // run, so a full table refuses new requests instead.
@@ -73,8 +76,12 @@
 // forgets what is older than its retention.
 func (z *Zone) expire(c Expire) Result {
 	changed := z.expireRecords(c.At)
+	keep := make(map[model.JobID]bool, len(c.Keep))
+	for _, id := range c.Keep {
+		keep[id] = true
+	}
 	for id, job := range z.data.Jobs {
-		if job.Work.Service == nil && job.Open == 0 && job.Ended+jobAge < c.At {
+		if !keep[id] && job.Work.Service == nil && job.Open == 0 && job.Ended+jobAge < c.At {
 			delete(z.data.Jobs, id)
 			changed = true
 		}
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -45,6 +45,7 @@
 	Record  RecordPhase `cbor:"3,keyasint,omitempty"`
 	Answer  *Answer     `cbor:"4,keyasint,omitempty"`
 	Taken   []bool      `cbor:"5,keyasint,omitempty"` // of each item of Assign, Start and Finish
+	Parts   []Result    `cbor:"6,keyasint,omitempty"` // of each command of a Batch
 }
 
 // Change tells the runtime on a replica what a command changed.
--- a/core/state/zone.go
+++ b/core/state/zone.go
@@ -52,6 +52,7 @@
 	Tasks     []Task       `cbor:"6,keyasint"`
 	Open      int          `cbor:"7,keyasint"` // tasks that have not ended
 	Ended     clock.Millis `cbor:"8,keyasint,omitempty"`
+	Failed    bool         `cbor:"9,keyasint,omitempty"` // cancelled because it failed for good
 }
 
 // Record is the record of a non-idempotent request.
@@ -154,11 +155,25 @@
 		return z.dropRecord(c), nil
 	case Expire:
 		return z.expire(c), nil
+	case Batch:
+		return z.batch(c)
 	default:
 		return Result{Reason: "unknown command"}, nil
 	}
 }
 
+func (z *Zone) batch(c Batch) (Result, []Change) {
+	result := Result{Parts: make([]Result, 0, len(c.Commands))}
+	var changes []Change
+	for _, item := range c.Commands {
+		part, more := z.Apply(item)
+		result.Parts = append(result.Parts, part)
+		result.Changed = result.Changed || part.Changed
+		changes = append(changes, more...)
+	}
+	return result, changes
+}
+
 func (z *Zone) adopt(c Adopt) (Result, []Change) {
 	if c.Version <= z.data.Version {
 		return Result{Reason: "a version as high is in force"}, nil
