vbstand: add the worker and backend server stand-ins

The daemon needs counterparts that record what really ran, because its own counters cannot prove its promises. 'vbstand worker' holds fake tasks under leases, with an internal holder until core/lease exists; 'vbstand backend' announces itself, answers with an echo and a checksum, and misbehaves on demand.

A leaving backend server lingers 3.5 s before its listener closes, because instances may send it new work for 3 s.

They have not yet run against a daemon.

--- /dev/null
+++ b/vbstand/backend.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vanillabridge/vbstand/record"
+	"vanillabridge/vbstand/server"
+)
+
+func backendCommand() *cobra.Command {
+	var opt server.Options
+	var entries, journal string
+	cmd := &cobra.Command{
+		Use:   "backend --name NAME --zone ZONE --service SERVICE --entries ADDRESS,...",
+		Short: "Answer requests as a backend server",
+		Long: `Announces itself through POST /v1/servers/announce and answers requests after a service time.
+SIGTERM announces that the server leaves, waits for requests in progress and ends.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			opt.Entries = splitList(entries)
+			if !slices.Contains(server.Faults(), opt.Fault) {
+				return fmt.Errorf("misbehaviour %q is none of %q", opt.Fault, server.Faults())
+			}
+			w, err := record.Open(journal)
+			if err != nil {
+				return err
+			}
+			stand, err := server.New(opt, w)
+			if err != nil {
+				return err
+			}
+			return errors.Join(stand.Run(cmd.Context()), w.Close())
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar((*string)(&opt.Name), "name", "", "name of the backend server")
+	f.StringVar((*string)(&opt.Zone), "zone", "", "availability zone")
+	f.StringVar(&opt.Service, "service", "", "service that it runs")
+	f.StringVar(&opt.Listen, "listen", "127.0.0.1:0", "IP number and port to listen on")
+	f.StringVar(&entries, "entries", "", "entry addresses, separated by commas")
+	f.StringVar(&journal, "journal", "", "file to which true runs are appended")
+	f.IntVar(&opt.Slots, "slots", 8, "requests that it can carry at once")
+	f.IntVar(&opt.Conns, "conns", 64, "connections that it can carry at once")
+	f.DurationVar(&opt.Time, "time", 20*time.Millisecond, "service time of a request")
+	f.IntVar(&opt.Body, "body", 1024, "least size of an answer in bytes")
+	f.StringVar((*string)(&opt.Fault), "fault", "", "misbehaviour: never, reset, truncate, error or slow")
+	f.Float64Var(&opt.Share, "share", 1, "share of the requests that the misbehaviour hits")
+	f.Uint64Var(&opt.Seed, "seed", 1, "seed of the draw of misbehaviour")
+	f.DurationVar(&opt.Period, "period", 500*time.Millisecond, "time between announcements")
+	f.DurationVar(&opt.Linger, "linger", 3500*time.Millisecond, "time from SIGTERM to the first possible end")
+	f.DurationVar(&opt.Grace, "grace", 30*time.Second, "longest wait for requests in progress")
+	f.BoolVar(&opt.Count, "count", true, "announce the number of requests in progress")
+	for _, name := range []string{"name", "zone", "service", "entries"} {
+		_ = cmd.MarkFlagRequired(name)
+	}
+	return cmd
+}
--- /dev/null
+++ b/vbstand/server/announce.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"vanillabridge/core/proto"
+)
+
+// announceLoop announces the server once per period. Each announcement has its own
+// goroutine, so that a paused entry instance delays none of the following ones.
+func (s *Server) announceLoop(ctx context.Context) {
+	ticker := time.NewTicker(s.opt.Period)
+	defer ticker.Stop()
+	for {
+		go s.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce sends one announcement to the next entry instance, as a balancer would, and to
+// the one after it if that fails.
+func (s *Server) announce(ctx context.Context) {
+	body := s.announcement()
+	for range s.entries.Len() {
+		address := s.entries.Next()
+		err := s.entries.Do(ctx, "POST", address, "/v1/servers/announce", body, nil)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("announcement failed", "name", s.opt.Name, "entry", address, "err", err)
+	}
+}
+
+func (s *Server) announcement() proto.Announce {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	body := proto.Announce{
+		Name: s.opt.Name, Incarnation: s.incarnation, Service: s.opt.Service,
+		Address: s.address, Zone: s.opt.Zone, Slots: s.opt.Slots, Conns: s.opt.Conns,
+		State: s.state, Seq: s.seq,
+	}
+	if s.opt.Count {
+		active := s.active
+		body.Active = &active
+	}
+	return body
+}
--- /dev/null
+++ b/vbstand/server/handle.go
@@ -0,0 +1,151 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path"
+	"strconv"
+	"time"
+
+	"vanillabridge/core/proto"
+	"vanillabridge/vbstand/record"
+)
+
+// HeaderSend numbers the sends of a request by its caller. Entry instances pass it on like
+// any header that they do not know.
+const HeaderSend = "Stand-Send"
+
+// maxBody bounds the body of a request.
+const maxBody = 64 << 20
+
+// Fault is a way to misbehave.
+type Fault string
+
+// The ways to misbehave.
+const (
+	FaultNone     Fault = ""
+	FaultNever    Fault = "never"    // holds the request and never answers
+	FaultReset    Fault = "reset"    // resets the connection halfway through the answer
+	FaultTruncate Fault = "truncate" // closes the connection halfway through the answer
+	FaultError    Fault = "error"    // answers 500 at once
+	FaultSlow     Fault = "slow"     // sends the body in pieces over ten times the service time
+)
+
+// Faults lists the ways to misbehave.
+func Faults() []Fault {
+	return []Fault{FaultNone, FaultNever, FaultReset, FaultTruncate, FaultError, FaultSlow}
+}
+
+// ServeHTTP runs one request and records it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	run, fault := s.begin(r)
+	s.journal.Write(record.Line{Run: &run})
+	err := s.serve(w, r, run.Token, fault)
+	s.mu.Lock()
+	s.active--
+	run.Active, run.Open = s.active, s.open
+	s.mu.Unlock()
+	run.Step, run.Time = record.RunEnd, record.Now()
+	if err != nil {
+		run.Error = err.Error()
+	}
+	s.journal.Write(record.Line{Run: &run})
+	if errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) begin(r *http.Request) (record.Run, Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active++
+	s.maxActive = max(s.maxActive, s.active)
+	s.runs++
+	fault := s.opt.Fault
+	if s.rng.Float64() >= s.opt.Share {
+		fault = FaultNone
+	}
+	send, _ := strconv.Atoi(r.Header.Get(HeaderSend))
+	return record.Run{
+		Step: record.RunStart, ID: s.runs, Token: path.Base(r.URL.Path), Send: send,
+		Request: r.Header.Get(proto.HeaderRequest), Attempt: r.Header.Get(proto.HeaderAttempt),
+		Key: r.Header.Get(proto.HeaderKey), Caller: r.Header.Get(proto.HeaderCaller),
+		Class: r.Header.Get(proto.HeaderClass), Idempotent: idempotent(r),
+		Server: s.opt.Name, Incarnation: s.incarnation, Time: record.Now(),
+		Active: s.active, Open: s.open, Slots: s.opt.Slots, Conns: s.opt.Conns,
+	}, fault
+}
+
+func idempotent(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodPost, http.MethodPatch:
+		return r.Header.Get(proto.HeaderIdempotent) == "true"
+	default:
+		return true
+	}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, token string, fault Fault) error {
+	if fault == FaultError {
+		http.Error(w, "stand-in fails on purpose", http.StatusInternalServerError)
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return fmt.Errorf("read request body: %w", err)
+	}
+	if fault == FaultNever {
+		<-r.Context().Done()
+		return errors.New("never answered on purpose")
+	}
+	time.Sleep(s.opt.Time)
+	answer := Answer(token, body, s.opt.Body)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	switch fault {
+	case FaultReset, FaultTruncate:
+		return sendHalf(w, answer, fault)
+	case FaultSlow:
+		return sendSlowly(w, answer, s.opt.Time)
+	default:
+		_, err := w.Write(answer)
+		return err
+	}
+}
+
+// sendHalf sends the first half of the answer and ends the connection.
+func sendHalf(w http.ResponseWriter, answer []byte, fault Fault) error {
+	_, _ = w.Write(answer[:len(answer)/2])
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	if fault == FaultTruncate {
+		return http.ErrAbortHandler
+	}
+	conn, _, err := control.Hijack()
+	if err != nil {
+		return fmt.Errorf("take over connection: %w", err)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // makes Close send a reset
+	}
+	_ = conn.Close()
+	return errors.New("reset on purpose")
+}
+
+func sendSlowly(w http.ResponseWriter, answer []byte, serviceTime time.Duration) error {
+	const pieces = 10
+	control := http.NewResponseController(w)
+	for i := range pieces {
+		from, to := len(answer)*i/pieces, len(answer)*(i+1)/pieces
+		if _, err := w.Write(answer[from:to]); err != nil {
+			return err
+		}
+		if err := control.Flush(); err != nil {
+			return err
+		}
+		time.Sleep(serviceTime)
+	}
+	return nil
+}
--- /dev/null
+++ b/vbstand/server/server_test.go
@@ -0,0 +1,105 @@
+package server_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"vanillabridge/core/proto"
+	"vanillabridge/vbstand/record"
+	"vanillabridge/vbstand/server"
+)
+
+// Guards against a verifier that accepts a damaged answer or the answer to another request.
+func TestVerifyFindsDamage(t *testing.T) {
+	good := server.Answer("a-1", []byte("in"), 500)
+	if err := server.Verify(good, "a-1", []byte("in")); err != nil {
+		t.Fatalf("whole answer refused: %v", err)
+	}
+	if server.Verify(good, "a-2", []byte("in")) == nil {
+		t.Error("answer to another request accepted")
+	}
+	if server.Verify(good, "a-1", []byte("other")) == nil {
+		t.Error("answer to another body accepted")
+	}
+	for cut := range good {
+		if server.Verify(good[:cut], "a-1", []byte("in")) == nil {
+			t.Errorf("answer cut to %d of %d bytes accepted", cut, len(good))
+		}
+	}
+	mixed := bytes.Replace(good, []byte("token a-1"), []byte("token a-2"), 1)
+	if server.Verify(mixed, "a-2", []byte("in")) == nil {
+		t.Error("answer mixed from two requests accepted")
+	}
+}
+
+func run(t *testing.T, fault server.Fault) (body []byte, lines []record.Line, err error) {
+	t.Helper()
+	dir := t.TempDir()
+	journal, err := record.Open(dir + "/s.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stand, err := server.New(server.Options{
+		Name: "s", Entries: []string{"127.0.0.1:1"}, Slots: 1, Conns: 1, Body: 4096, Fault: fault, Share: 1,
+	}, journal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	web := httptest.NewServer(stand)
+	req, _ := http.NewRequest(http.MethodPost, web.URL+"/s/echo/t-1", strings.NewReader("in"))
+	req.Header.Set(server.HeaderSend, "2")
+	req.Header.Set(proto.HeaderKey, "k")
+	resp, callErr := http.DefaultClient.Do(req)
+	if callErr == nil {
+		body, callErr = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	web.Close()
+	if err := journal.Close(); err != nil {
+		t.Fatal(err)
+	}
+	lines, err = record.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body, lines, callErr
+}
+
+// Guards against runs that the journal does not show, on which every check of "notrun" and
+// "once" depends.
+func TestRunIsRecorded(t *testing.T) {
+	body, lines, err := run(t, server.FaultNone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Verify(body, "t-1", []byte("in")); err != nil {
+		t.Error(err)
+	}
+	if len(lines) != 2 || lines[0].Run == nil || lines[1].Run == nil {
+		t.Fatalf("journal has %d lines, want start and end of a run", len(lines))
+	}
+	start := lines[0].Run
+	if start.Token != "t-1" || start.Send != 2 || start.Key != "k" || start.Idempotent || start.Active != 1 {
+		t.Errorf("start of the run recorded as %+v", start)
+	}
+	if lines[1].Run.Step != record.RunEnd || lines[1].Run.Active != 0 {
+		t.Errorf("end of the run recorded as %+v", lines[1].Run)
+	}
+}
+
+// Guards against misbehaviour that a caller could take for a whole answer.
+func TestFaultsBreakTheAnswer(t *testing.T) {
+	for _, fault := range []server.Fault{server.FaultReset, server.FaultTruncate, server.FaultError} {
+		body, lines, err := run(t, fault)
+		if err == nil && server.Verify(body, "t-1", []byte("in")) == nil {
+			t.Errorf("%s: caller got a whole answer", fault)
+		}
+		if len(lines) != 2 {
+			t.Errorf("%s: journal has %d lines, want 2", fault, len(lines))
+		}
+	}
+}
--- /dev/null
+++ b/vbstand/worker.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"errors"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/vbstand/record"
+	"vanillabridge/vbstand/worker"
+)
+
+func workerCommand() *cobra.Command {
+	var opt worker.Options
+	var entries, journal string
+	cmd := &cobra.Command{
+		Use:   "worker --name NAME --zone ZONE --entries ADDRESS,...",
+		Short: "Hold fake tasks under leases",
+		Long: `Announces itself through POST /v1/workers/sync and runs the assigned tasks as timers.
+SIGTERM stops all tasks, reports their outcomes and ends.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			opt.Entries = splitList(entries)
+			w, err := record.Open(journal)
+			if err != nil {
+				return err
+			}
+			stand, err := worker.New(opt, w, clock.NewSystem())
+			if err != nil {
+				return err
+			}
+			return errors.Join(stand.Run(cmd.Context()), w.Close())
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar((*string)(&opt.Name), "name", "", "name of the worker")
+	f.StringVar((*string)(&opt.Zone), "zone", "", "availability zone")
+	f.StringVar((*string)(&opt.Rack), "rack", "r1", "rack")
+	f.StringVar(&entries, "entries", "", "entry addresses, separated by commas")
+	f.StringVar(&journal, "journal", "", "file to which true starts and ends are appended")
+	f.Int64Var((*int64)(&opt.Size.CPU), "cpu", 16000, "processor in millicores")
+	f.Int64Var((*int64)(&opt.Size.Memory), "memory", 32768, "memory in MiB")
+	f.Int64Var((*int64)(&opt.Size.Accel), "accel", 0, "accelerators")
+	f.Uint64Var(&opt.Seed, "seed", 1, "seed of the drawn factors")
+	f.Float64Var(&opt.Sizes, "sizes", 0, "ratio of true to declared use; 0 draws 0.25 to 4 by job")
+	f.Float64Var(&opt.Times, "times", 0, "ratio of true to declared run time; 0 draws 0.25 to 4 by job")
+	f.BoolVar(&opt.NoStart, "nostart", false, "fail every start")
+	f.BoolVar(&opt.Deaf, "deaf", false, "ignore throttle, checkpoint and stop; the end of a lease still stops tasks")
+	f.DurationVar(&opt.Period, "period", 500*time.Millisecond, "time between syncs")
+	f.DurationVar(&opt.Grace, "grace", 5*time.Second, "longest wait for the confirmation of outcomes at the end")
+	for _, name := range []string{"name", "zone", "entries"} {
+		_ = cmd.MarkFlagRequired(name)
+	}
+	return cmd
+}
