Add the configuration library, the daemon's settings and the event recorder

Cause: the daemon needs a typed configuration, its own settings and a timeline before its roles can be wired. Change: core/spec has Document, Parse, Check, Print and Diff over one table of keys; vbridged/config has Load and Settings over another; core/trace has the hybrid logical clock, typed events, the Recorder, filters, JSON lines and Merge. Ruled out: a typed Document. Its zero values cannot tell a missing urgency from urgency low, so a safe default could not be listed with the answer.

--- /dev/null
+++ b/core/spec/parse.go
@@ -0,0 +1,104 @@
+package spec
+
+import (
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"vanillabridge/core/fault"
+)
+
+// Parse reads INI text. It refuses text that is too large or not INI; everything else,
+// unknown sections and keys included, is kept for Check to report.
+func Parse(text string) (Document, error) {
+	if err := checkText(text); err != nil {
+		return Document{}, err
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowShadows:               true, // so that a key that is set twice is seen
+		AllowDuplicateShadowValues: true,
+		AllowNonUniqueSections:     true, // so that a section that is opened twice is seen
+		IgnoreContinuation:         true,
+		KeyValueDelimiters:         "=",
+		SpaceBeforeInlineComment:   true,
+	}, []byte(text))
+	if err != nil {
+		return Document{}, Problems{{Text: "not INI text: " + err.Error()}}
+	}
+	var d Document
+	for _, s := range file.Sections() {
+		read := readSection(s)
+		if s.Name() == ini.DefaultSection && len(read.pairs) == 0 {
+			continue // the library's section for keys before the first header
+		}
+		d.sections = append(d.sections, read)
+	}
+	return d, nil
+}
+
+func checkText(text string) error {
+	if len(text) > MaxText {
+		return fault.Wrap(fault.ErrTooLarge, "configuration has %d bytes, limit %d", len(text), MaxText)
+	}
+	sections, keys, number := 0, 0, 0
+	for line := range strings.Lines(text) {
+		number++
+		if len(line) > MaxLine {
+			return fault.Wrap(fault.ErrTooLarge, "line %d has %d bytes, limit %d", number, len(line), MaxLine)
+		}
+		keys++
+		if strings.HasPrefix(strings.TrimSpace(line), "[") {
+			sections, keys = sections+1, 0
+		}
+		if sections > MaxSections {
+			return fault.Wrap(fault.ErrTooLarge, "line %d: more than %d sections", number, MaxSections)
+		}
+		if keys > maxLines {
+			return fault.Wrap(fault.ErrTooLarge, "line %d: more than %d lines in a section", number, maxLines)
+		}
+		if i := strings.IndexFunc(line, isControl); i >= 0 {
+			return Problems{{Text: fmt.Sprintf("line %d: control character %q", number, line[i])}}
+		}
+	}
+	return nil
+}
+
+// maxLines bounds the lines of a section, comments included.
+const maxLines = 1000
+
+func isControl(c rune) bool {
+	return c < ' ' && c != '\t' && c != '\n' && c != '\r' || c == 0x7f || c == 0xfeff
+}
+
+func readSection(s *ini.Section) section {
+	words := strings.Fields(s.Name())
+	out := section{}
+	if len(words) > 0 {
+		out.kind = Kind(words[0])
+		out.name = strings.Join(words[1:], " ")
+	}
+	for _, k := range s.Keys() {
+		values := k.ValueWithShadows()
+		if len(values) == 0 {
+			values = []string{k.Value()}
+		}
+		for _, v := range values {
+			out.pairs = append(out.pairs, pair{k.Name(), canonical(out.kind, k.Name(), v)})
+		}
+	}
+	return out
+}
+
+// canonical writes a value in the form that Print uses, so that 1m and 60s are no difference.
+func canonical(kind Kind, name, text string) string {
+	k, ok := findKey(kind, name)
+	if !ok {
+		return text
+	}
+	v, err := k.unit.read(text)
+	if err != nil {
+		return text
+	}
+	return k.unit.print(v)
+}
--- /dev/null
+++ b/core/trace/lines.go
@@ -0,0 +1,87 @@
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"vanillabridge/core/fault"
+	"vanillabridge/core/model"
+)
+
+// maxLine bounds a line that ReadLines reads, in bytes.
+const maxLine = 64 << 10
+
+// line is an entry on the wire; kind selects the type of event.
+type line struct {
+	Stamp
+	Process string          `json:"process"`
+	Zone    model.Zone      `json:"zone,omitempty"`
+	Seq     uint64          `json:"seq"`
+	Kind    Kind            `json:"kind"`
+	Event   json.RawMessage `json:"event"`
+}
+
+// MarshalJSON encodes the entry as one object with its kind.
+func (e Entry) MarshalJSON() ([]byte, error) {
+	event, err := json.Marshal(e.Event)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(line{Stamp: e.Stamp, Process: e.Process, Zone: e.Zone, Seq: e.Seq, Kind: e.Event.Kind(), Event: event})
+}
+
+// UnmarshalJSON decodes what MarshalJSON writes.
+func (e *Entry) UnmarshalJSON(data []byte) error {
+	var l line
+	if err := json.Unmarshal(data, &l); err != nil {
+		return err
+	}
+	read, ok := decoders[l.Kind]
+	if !ok {
+		return fmt.Errorf("unknown kind of event %q", l.Kind)
+	}
+	event, err := read(l.Event)
+	if err != nil {
+		return err
+	}
+	*e = Entry{Stamp: l.Stamp, Process: l.Process, Zone: l.Zone, Seq: l.Seq, Event: event}
+	return nil
+}
+
+// WriteLines writes each entry as a line of JSON.
+func WriteLines(w io.Writer, entries []Entry) error {
+	out := bufio.NewWriter(w)
+	encoder := json.NewEncoder(out)
+	for _, e := range entries {
+		if err := encoder.Encode(e); err != nil {
+			return fault.Wrap(err, "write event %d of %s", e.Seq, e.Process)
+		}
+	}
+	return out.Flush()
+}
+
+// ReadLines reads what WriteLines writes. It skips lines that are not events, such as the torn
+// last line of a process that died, and returns their number.
+func ReadLines(r io.Reader) (entries []Entry, skipped int, err error) {
+	in := bufio.NewReaderSize(r, maxLine)
+	for {
+		text, err := in.ReadSlice('\n')
+		full := errors.Is(err, bufio.ErrBufferFull)
+		if err != nil && !full && !errors.Is(err, io.EOF) {
+			return entries, skipped, fault.Wrap(err, "read events")
+		}
+		var e Entry
+		switch {
+		case full || (len(text) > 1 && json.Unmarshal(text, &e) != nil):
+			skipped++
+		case len(text) > 1:
+			entries = append(entries, e)
+		}
+		if errors.Is(err, io.EOF) {
+			return entries, skipped, nil
+		}
+	}
+}
--- /dev/null
+++ b/vbridged/config/value.go
@@ -0,0 +1,188 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+	"vanillabridge/core/spec"
+)
+
+// assign reads text into the field that target points to, and returns what is wrong.
+func (k key) assign(target any, text string) string {
+	switch field := target.(type) {
+	case *string:
+		*field = text
+		return ""
+	case *model.Instance:
+		return readName(field, text)
+	case *model.Zone:
+		return readName(field, text)
+	case *model.Region:
+		return readName(field, text)
+	case *[]model.Instance:
+		return readNames(field, text)
+	case *bool:
+		return readFlag(field, text)
+	case *netip.AddrPort:
+		return readAddress(field, text)
+	case *Level:
+		return readLevel(field, text)
+	case *int:
+		return readInt(k, field, text)
+	case *clock.Millis:
+		return readDuration(k, field, text)
+	case *Bytes:
+		return readBytes(k, field, text)
+	default:
+		return fmt.Sprintf("has a type that settings cannot hold: %T", target)
+	}
+}
+
+// unit describes the form of the value for the reference.
+func (k key) unit() string {
+	switch k.target(&Settings{}).(type) {
+	case *string:
+		return "path"
+	case *[]model.Instance:
+		return "list of instances"
+	case *bool:
+		return "true or false"
+	case *netip.AddrPort:
+		return "IP number:port"
+	case *Level:
+		return "level"
+	case *int:
+		return "number"
+	case *clock.Millis:
+		return "duration (ms, s, m, h)"
+	case *Bytes:
+		return "bytes (KiB, MiB)"
+	default:
+		return "name"
+	}
+}
+
+// limits describes the bounds of the value, if it has any.
+func (k key) limits() string {
+	if k.max == 0 {
+		return ""
+	}
+	switch k.target(&Settings{}).(type) {
+	case *clock.Millis:
+		return clock.Millis(k.min).String() + " to " + clock.Millis(k.max).String()
+	case *Bytes:
+		return printBytes(k.min) + " to " + printBytes(k.max)
+	default:
+		return strconv.FormatInt(k.min, 10) + " to " + strconv.FormatInt(k.max, 10)
+	}
+}
+
+func (k key) outside(n int64, text string) string {
+	if n >= k.min && n <= k.max {
+		return ""
+	}
+	return fmt.Sprintf("%s is outside the limits, want %s", text, k.limits())
+}
+
+func readName[T ~string](field *T, text string) string {
+	if err := spec.CheckName(text); err != nil {
+		return err.Error()
+	}
+	*field = T(text)
+	return ""
+}
+
+func readNames(field *[]model.Instance, text string) string {
+	var names []model.Instance
+	for part := range strings.SplitSeq(text, ",") {
+		var name model.Instance
+		if wrong := readName(&name, strings.TrimSpace(part)); wrong != "" {
+			return wrong
+		}
+		if slices.Contains(names, name) {
+			return fmt.Sprintf("%s is listed more than once", name)
+		}
+		names = append(names, name)
+	}
+	*field = names
+	return ""
+}
+
+func readFlag(field *bool, text string) string {
+	if text != "true" && text != "false" {
+		return fmt.Sprintf("%q is neither true nor false", text)
+	}
+	*field = text == "true"
+	return ""
+}
+
+func readAddress(field *netip.AddrPort, text string) string {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 {
+		return fmt.Sprintf("%q is not an IP number and a port, want for example 10.0.0.1:7000", text)
+	}
+	*field = address
+	return ""
+}
+
+func readLevel(field *Level, text string) string {
+	levels := []Level{LevelDebug, LevelInfo, LevelWarn, LevelError}
+	if !slices.Contains(levels, Level(text)) {
+		return fmt.Sprintf("%q is none of debug, info, warn, error", text)
+	}
+	*field = Level(text)
+	return ""
+}
+
+func readInt(k key, field *int, text string) string {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return fmt.Sprintf("%q is not a whole number", text)
+	}
+	*field = n
+	return k.outside(int64(n), text)
+}
+
+func readDuration(k key, field *clock.Millis, text string) string {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Sprintf("%q is not a duration, want for example 500ms, 30s or 5m", text)
+	}
+	if d%time.Millisecond != 0 {
+		return fmt.Sprintf("%q is finer than one millisecond", text)
+	}
+	*field = clock.FromStd(d)
+	return k.outside(int64(*field), text)
+}
+
+func readBytes(k key, field *Bytes, text string) string {
+	digits, factor := text, int64(0)
+	if head, ok := strings.CutSuffix(text, "KiB"); ok {
+		digits, factor = head, kib
+	}
+	if head, ok := strings.CutSuffix(text, "MiB"); ok {
+		digits, factor = head, mib
+	}
+	n, err := strconv.ParseInt(digits, 10, 32) // 32 bits, so that the product cannot overflow
+	if err != nil || factor == 0 {
+		return fmt.Sprintf("%q is not an amount of bytes, want for example 64KiB or 64MiB", text)
+	}
+	*field = Bytes(n * factor)
+	return k.outside(n*factor, text)
+}
+
+func printBytes(n int64) string {
+	if n%mib == 0 {
+		return strconv.FormatInt(n/mib, 10) + "MiB"
+	}
+	return strconv.FormatInt(n/kib, 10) + "KiB"
+}
+
+func compareText[T ~string](a, b T) int { return cmp.Compare(a, b) }
