--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -221,3 +221,14 @@
 
 // ServiceJob returns the identifier under which a service's tasks are recorded in each zone.
 func ServiceJob(name string) model.JobID { return model.NewJobID(name, RunLabel) }
+
+// Count returns the number of tasks that the job wants.
+func (j *Job) Count() int {
+	n := 0
+	for i := range j.Tasks {
+		if !j.Tasks[i].Surplus {
+			n++
+		}
+	}
+	return n
+}
