Proxy callers' requests to announced backend servers under permits

Cause: the daemon needs the exported API and the ports of vbridged/entry before the other parts of the request path exist.

Change: core/member (rise, fall, sticky leaving, relays with a bounded age), core/permit (granter with leadership, residues of earlier epochs and max-min shares; holder with a floor, credits and the connection split), core/once (records and the steps of one request), core/retry (budget and jittered backoff), and vbridged/entry with its own exchange on connections, because http.Transport repeats requests that carry an Idempotency-Key. There is no queue and no choice between servers yet.

--- /dev/null
+++ b/core/member/relay.go
@@ -0,0 +1,73 @@
+package member
+
+import (
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+)
+
+// Relayed is an announcement with the age of the evidence when the relay was sent.
+type Relayed struct {
+	Announce proto.Announce `json:"announce"`
+	Age      clock.Millis   `json:"age"`
+}
+
+// Relay carries announcements to one other instance of the zone.
+//
+// Clocks of two instances are not comparable and a message can be late, so the sender
+// returns the receiver's own newest Sent as Echo, with the time it has kept it. The
+// receiver gets from these an upper bound of the time in transit.
+type Relay struct {
+	From   model.Instance    `json:"from"`
+	Life   model.Incarnation `json:"life"`             // incarnation of From
+	Sent   clock.Millis      `json:"sent"`             // clock of From
+	Echo   clock.Millis      `json:"echo,omitempty"`   // newest Sent that From has of the receiver
+	ToLife model.Incarnation `json:"tolife,omitempty"` // incarnation of the receiver that Echo is from
+	Held   clock.Millis      `json:"held,omitempty"`   // time From has kept Echo
+	List   []Relayed         `json:"list"`
+}
+
+type beacon struct {
+	life model.Incarnation
+	sent clock.Millis
+	got  clock.Millis
+}
+
+// Links tracks the newest clock reading of each other instance.
+type Links struct {
+	self model.Instance
+	life model.Incarnation
+	seen map[model.Instance]beacon
+}
+
+// NewLinks returns the links of an instance.
+func NewLinks(self model.Instance, life model.Incarnation) *Links {
+	return &Links{self: self, life: life, seen: map[model.Instance]beacon{}}
+}
+
+// Wrap addresses a list of announcements to another instance.
+func (l *Links) Wrap(now clock.Millis, to model.Instance, list []Relayed) Relay {
+	r := Relay{From: l.self, Life: l.life, Sent: now, List: list}
+	if b, ok := l.seen[to]; ok {
+		r.Echo, r.ToLife, r.Held = b.sent, b.life, now-b.got
+	}
+	return r
+}
+
+// Unwrap returns the announcements of a relay as inputs of the table. An announcement
+// whose age has no bound is passed on with an age beyond EvidenceTime: it still says
+// that a server is leaving, but never that it is alive.
+func (l *Links) Unwrap(now clock.Millis, r Relay) []Heard {
+	if b, ok := l.seen[r.From]; !ok || b.life != r.Life || b.sent < r.Sent {
+		l.seen[r.From] = beacon{life: r.Life, sent: r.Sent, got: now}
+	}
+	transit := EvidenceTime
+	if r.ToLife == l.life && r.Echo > 0 {
+		transit = max(now-r.Echo-r.Held, 0)
+	}
+	list := make([]Heard, 0, len(r.List))
+	for _, x := range r.List {
+		list = append(list, Heard{Announce: x.Announce, Age: max(x.Age, 0) + transit})
+	}
+	return list
+}
--- /dev/null
+++ b/vbridged/entry/announce.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/fault"
+	"vanillabridge/core/member"
+	"vanillabridge/core/proto"
+)
+
+// announceSize bounds the body of an announcement, in bytes.
+const announceSize = 4 << 10
+
+func (e *Entry) announce(w http.ResponseWriter, r *http.Request) {
+	var a proto.Announce
+	body := http.MaxBytesReader(w, r.Body, announceSize)
+	if err := json.NewDecoder(body).Decode(&a); err != nil {
+		writeProblem(w, http.StatusBadRequest, proto.Problem{Error: "announcement: " + err.Error()})
+		return
+	}
+	if field, err := checkAnnounce(a); err != nil {
+		writeProblem(w, http.StatusBadRequest, proto.Problem{Error: err.Error(), Field: field})
+		return
+	}
+	// The balancer can hand an announcement to another zone, whose entry instances must not
+	// count the server as their own.
+	if a.Zone != e.set.Zone {
+		writeProblem(w, http.StatusMisdirectedRequest, proto.Problem{Error: "announcement of another zone", Field: "zone"})
+		return
+	}
+	e.mu.Lock()
+	e.heard(e.ports.Clock.Now(), member.Heard{Announce: a, Direct: true})
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func checkAnnounce(a proto.Announce) (field string, err error) {
+	switch {
+	case a.Name == "" || len(a.Name) > 128:
+		return "name", fault.Wrap(fault.ErrInvalid, "name has %d bytes, want 1 to 128", len(a.Name))
+	case a.Incarnation == 0:
+		return "incarnation", fault.Wrap(fault.ErrInvalid, "incarnation is 0")
+	case a.Service == "" || len(a.Service) > 128:
+		return "service", fault.Wrap(fault.ErrInvalid, "service has %d bytes, want 1 to 128", len(a.Service))
+	case a.Slots < 1:
+		return "slots", fault.Wrap(fault.ErrInvalid, "slots is %d, want at least 1", a.Slots)
+	case a.Conns < 1:
+		return "conns", fault.Wrap(fault.ErrInvalid, "conns is %d, want at least 1", a.Conns)
+	case a.State != proto.ServerServing && a.State != proto.ServerLeaving:
+		return "state", fault.Wrap(fault.ErrInvalid, "state %q is neither serving nor leaving", a.State)
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return "address", fault.Wrap(fault.ErrInvalid, "address %q is no IP number and port", a.Address)
+	}
+	return "", nil
+}
+
+// heard applies an announcement; e.mu is held.
+func (e *Entry) heard(now clock.Millis, h member.Heard) {
+	k := member.Key{Name: h.Announce.Name, Incarnation: h.Announce.Incarnation}
+	before, _ := e.members.Get(k)
+	e.step(now, h)
+	s, ok := e.members.Get(k)
+	if !ok {
+		return
+	}
+	e.holder.Offer(now, k, s.Zone, s.Slots, s.Conns)
+	if !h.Direct {
+		return
+	}
+	// Only what was heard directly is relayed, so that relays don't circulate.
+	if s.Seq != before.Seq || s.Leaving != before.Leaving {
+		e.fresh[k] = h.Announce
+	}
+}
+
+// step applies an input to the table of servers; e.mu is held.
+func (e *Entry) step(now clock.Millis, in member.Input) {
+	for _, out := range e.members.Step(now, in) {
+		switch out := out.(type) {
+		case member.Rose:
+			e.ports.Events.Record(ServerRose{Server: out.Server})
+		case member.Fell:
+			e.ports.Events.Record(ServerFell{Server: out.Server, Cause: out.Cause})
+			e.closeIdle(now, out.Server)
+		}
+	}
+}
--- /dev/null
+++ b/vbridged/entry/run.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/member"
+	"vanillabridge/core/model"
+	"vanillabridge/core/permit"
+)
+
+// forgetTime is how long the permits of a silent server are remembered.
+const forgetTime = 5 * clock.Minute
+
+// Run drives the timers until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for _, zone := range append([]model.Zone{e.set.Zone}, e.set.Others...) {
+		wait.Go(func() { e.renewals(ctx, zone) })
+	}
+	tick := time.NewTicker(TickTime.Std())
+	defer tick.Stop()
+	var beacon clock.Millis
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := e.ports.Clock.Now()
+		due := now-beacon >= permit.RenewTime
+		if due {
+			beacon = now
+		}
+		e.tick(now, due)
+	}
+}
+
+// tick lets time pass and sends what was heard since the last tick.
+func (e *Entry) tick(now clock.Millis, beacon bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.step(now, member.Tick{})
+	e.holder.Forget(now, forgetTime)
+	e.sweep(now)
+	e.pump(now)
+	if len(e.fresh) == 0 && !beacon {
+		return
+	}
+	list := make([]member.Relayed, 0, len(e.fresh))
+	for k, a := range e.fresh {
+		if s, ok := e.members.Get(k); ok {
+			list = append(list, member.Relayed{Announce: a, Age: now - s.Evidence})
+		}
+	}
+	clear(e.fresh)
+	for _, p := range e.set.Peers {
+		e.ports.Relay.Send(p, e.links.Wrap(now, p, list))
+	}
+}
+
+// renewals keeps the credits of one zone.
+func (e *Entry) renewals(ctx context.Context, zone model.Zone) {
+	tick := time.NewTicker(permit.RenewTime.Std())
+	defer tick.Stop()
+	for {
+		e.renew(ctx, zone)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (e *Entry) renew(ctx context.Context, zone model.Zone) {
+	ctx, cancel := context.WithTimeout(ctx, permit.RenewTime.Std())
+	defer cancel()
+	e.mu.Lock()
+	now := e.ports.Clock.Now()
+	needs := e.needs(now, zone)
+	if zone != e.set.Zone && len(needs) == 0 && e.holder.Idle(now, zone) {
+		e.mu.Unlock()
+		return
+	}
+	r := e.holder.Renew(now, zone, needs)
+	e.mu.Unlock()
+	a, err := e.ports.Granter.Renew(ctx, zone, r)
+	if err != nil {
+		e.metrics.renewals.WithLabelValues("failed").Inc()
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now = e.ports.Clock.Now()
+	if !e.holder.Apply(now, zone, a) {
+		e.metrics.renewals.WithLabelValues("dropped").Inc()
+		return
+	}
+	e.metrics.renewals.WithLabelValues("applied").Inc()
+	e.pump(now)
+}
