--- a/vbstand/backend.go
+++ b/vbstand/backend.go
@@ -52,7 +52,7 @@
 	f.Float64Var(&opt.Share, "share", 1, "share of the requests that the misbehaviour hits")
 	f.Uint64Var(&opt.Seed, "seed", 1, "seed of the draw of misbehaviour")
 	f.DurationVar(&opt.Period, "period", 500*time.Millisecond, "time between announcements")
-	f.DurationVar(&opt.Linger, "linger", 3500*time.Millisecond, "time from SIGTERM to the first possible end")
+	f.DurationVar(&opt.Linger, "linger", 5*time.Second, "time from SIGTERM to the first possible end")
 	f.DurationVar(&opt.Grace, "grace", 30*time.Second, "longest wait for requests in progress")
 	f.BoolVar(&opt.Count, "count", true, "announce the number of requests in progress")
 	for _, name := range []string{"name", "zone", "service", "entries"} {
--- /dev/null
+++ b/vbstand/caller/caller.go
@@ -0,0 +1,161 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"vanillabridge/core/model"
+	"vanillabridge/vbstand/record"
+)
+
+// Options are the settings of a load generator.
+type Options struct {
+	Name     model.Caller
+	Service  string
+	Entries  []string
+	Count    int           // requests
+	Rate     float64       // requests per second; 0 is as fast as the concurrency allows
+	Workers  int           // concurrent requests
+	Time     time.Duration // longest run
+	Mix      Mix
+	Once     float64 // share of non-idempotent requests
+	Deadline time.Duration
+	Body     int // largest request body in bytes
+	Resends  int
+	Pause    time.Duration // before a resend
+	Phase    string
+	Seed     uint64
+}
+
+// Caller is a load generator.
+type Caller struct {
+	opt     Options
+	journal *record.Writer
+	kept    *http.Client // reuses connections
+	fresh   *http.Client // one connection for each request
+	label   string       // makes tokens differ between runs
+
+	mu    sync.Mutex
+	sends []record.Send
+}
+
+// request is one request with all its sends.
+type request struct {
+	token      string
+	class      model.Urgency
+	idempotent bool
+	method     string
+	body       []byte
+	entry      int
+}
+
+// New returns a load generator that records to journal.
+func New(opt Options, journal *record.Writer) (*Caller, error) {
+	if len(opt.Entries) == 0 {
+		return nil, errors.New("no entry addresses")
+	}
+	if opt.Workers < 1 || opt.Count < 1 {
+		return nil, fmt.Errorf("%d requests by %d workers: both must be at least 1", opt.Count, opt.Workers)
+	}
+	timeout := opt.Deadline + time.Second
+	transport := &http.Transport{MaxIdleConnsPerHost: opt.Workers, IdleConnTimeout: 30 * time.Second}
+	return &Caller{
+		opt:     opt,
+		journal: journal,
+		kept:    &http.Client{Transport: transport, Timeout: timeout},
+		fresh:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: timeout},
+		label:   fmt.Sprintf("%s-%s-%08x", opt.Name, opt.Phase, rand.Uint32()),
+	}, nil
+}
+
+// Run sends all requests, or as many as ctx and the time limit allow, and returns the sends.
+func (c *Caller) Run(ctx context.Context) []record.Send {
+	ctx, cancel := context.WithTimeout(ctx, c.opt.Time)
+	defer cancel()
+	requests := make(chan request)
+	var group sync.WaitGroup
+	for range c.opt.Workers {
+		group.Go(func() {
+			for r := range requests {
+				c.perform(ctx, r)
+			}
+		})
+	}
+	c.feed(ctx, requests)
+	close(requests)
+	group.Wait()
+	klog.InfoS("caller ends", "name", c.opt.Name, "phase", c.opt.Phase, "sends", len(c.sends))
+	return c.sends
+}
+
+func (c *Caller) feed(ctx context.Context, requests chan<- request) {
+	rng := rand.New(rand.NewPCG(c.opt.Seed, 2))
+	start := time.Now()
+	for n := range c.opt.Count {
+		if c.opt.Rate > 0 {
+			due := time.Duration(float64(n) / c.opt.Rate * float64(time.Second))
+			sleep(ctx, due-time.Since(start))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case requests <- c.build(n, rng):
+		}
+	}
+}
+
+func (c *Caller) build(n int, rng *rand.Rand) request {
+	r := request{
+		token:      fmt.Sprintf("%s-%d", c.label, n),
+		class:      c.opt.Mix.draw(rng),
+		idempotent: rng.Float64() >= c.opt.Once,
+		entry:      n % len(c.opt.Entries),
+	}
+	size := rng.IntN(c.opt.Body + 1)
+	switch {
+	case !r.idempotent:
+		r.method = http.MethodPost
+	case n%2 == 0:
+		r.method = http.MethodPut
+	default:
+		r.method, size = http.MethodGet, 0
+	}
+	r.body = make([]byte, size)
+	for i := range r.body {
+		r.body[i] = byte('a' + rng.IntN(26))
+	}
+	return r
+}
+
+// perform sends a request, and again through other entry instances after a lost answer.
+func (c *Caller) perform(ctx context.Context, r request) {
+	for n := 1; n <= 1+c.opt.Resends; n++ {
+		s := c.send(ctx, r, n)
+		c.journal.Write(record.Line{Send: &s})
+		c.mu.Lock()
+		c.sends = append(c.sends, s)
+		c.mu.Unlock()
+		if s.Told == record.ToldDone || s.Told == record.ToldNotRun || ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, c.opt.Pause)
+		r.entry = (r.entry + 1) % len(c.opt.Entries)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/vbstand/main.go
+++ b/vbstand/main.go
@@ -33,7 +33,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(workerCommand(), backendCommand())
+	root.AddCommand(workerCommand(), backendCommand(), callerCommand(), portsCommand())
 	return root
 }
 
--- a/vbstand/record/record.go
+++ b/vbstand/record/record.go
@@ -145,8 +145,9 @@
 	End        Micros `json:"end"`
 	Told       Told   `json:"told"`
 	Status     int    `json:"status,omitempty"`
-	Whole      bool   `json:"whole"` // the body echoes this request and its checksum is right
-	Begun      bool   `json:"begun"` // response headers arrived
+	Whole      bool   `json:"whole"`         // the body echoes this request and its checksum is right
+	Begun      bool   `json:"begun"`         // response headers arrived
+	Ran        Micros `json:"ran,omitempty"` // start of the run as the answer names it
 	Bytes      int    `json:"bytes"`
 	Request    string `json:"request,omitempty"`
 	Error      string `json:"error,omitempty"`
@@ -178,15 +179,16 @@
 
 // Job is the state of a job as told to an operator.
 type Job struct {
-	Job    model.JobID  `json:"job"`
-	Entry  string       `json:"entry"`
-	Time   Micros       `json:"time"`
-	Status int          `json:"status"`
-	Final  bool         `json:"final"` // the operator waited for the end and asks no more
-	Count  int          `json:"count"`
-	Kind   string       `json:"kind"`
-	Counts proto.Counts `json:"counts"`
-	Reason string       `json:"reason,omitempty"`
+	Job      model.JobID  `json:"job"`
+	Entry    string       `json:"entry"`
+	Accepted Micros       `json:"accepted"` // when the operator was told that the job is accepted
+	Time     Micros       `json:"time"`
+	Final    bool         `json:"final"` // the operator waited for the end and asks no more
+	Kind     string       `json:"kind"`
+	Class    string       `json:"class"`
+	Count    int          `json:"count"`
+	Counts   proto.Counts `json:"counts"`
+	Reason   string       `json:"reason,omitempty"`
 }
 
 // EventKind is something that the test did to a process.
--- a/vbstand/server/handle.go
+++ b/vbstand/server/handle.go
@@ -18,6 +18,9 @@
 // any header that they do not know.
 const HeaderSend = "Stand-Send"
 
+// HeaderStart holds the instant in microseconds at which the run began.
+const HeaderStart = "Stand-Start"
+
 // maxBody bounds the body of a request.
 const maxBody = 64 << 20
 
@@ -89,10 +92,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, token string, fault Fault) error {
-	if fault == FaultError {
-		http.Error(w, "stand-in fails on purpose", http.StatusInternalServerError)
-		return nil
-	}
+	start := record.Now()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
 		return fmt.Errorf("read request body: %w", err)
@@ -101,9 +101,16 @@
 		<-r.Context().Done()
 		return errors.New("never answered on purpose")
 	}
-	time.Sleep(s.opt.Time)
 	answer := Answer(token, body, s.opt.Body)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.Header().Set(HeaderStart, strconv.FormatInt(int64(start), 10))
+	if fault == FaultError {
+		// The answer verifies although it reports a failure: it is whole and belongs to the request.
+		w.WriteHeader(http.StatusInternalServerError)
+		_, err := w.Write(answer)
+		return err
+	}
+	time.Sleep(s.opt.Time)
 	switch fault {
 	case FaultReset, FaultTruncate:
 		return sendHalf(w, answer, fault)
--- /dev/null
+++ b/vbstand/stats/doc.go
@@ -0,0 +1,2 @@
+// Package stats computes percentiles and rates of journals.
+package stats
