vbstand: let the worker hold its tasks through core/lease

The internal holder stood in until core/lease existed.

A worker that ignores commands still stops its tasks when its lease ends, though core/lease asks for each stop only once.

--- a/vbstand/worker.go
+++ b/vbstand/worker.go
@@ -26,11 +26,11 @@
 			if err != nil {
 				return err
 			}
-			stand, err := worker.New(opt, w, clock.NewSystem())
+			stand, err := worker.New(opt, w)
 			if err != nil {
 				return err
 			}
-			return errors.Join(stand.Run(cmd.Context()), w.Close())
+			return errors.Join(stand.Run(cmd.Context(), clock.NewSystem()), w.Close())
 		},
 	}
 	f := cmd.Flags()
@@ -47,7 +47,6 @@
 	f.Float64Var(&opt.Times, "times", 0, "ratio of true to declared run time; 0 draws 0.25 to 4 by job")
 	f.BoolVar(&opt.NoStart, "nostart", false, "fail every start")
 	f.BoolVar(&opt.Deaf, "deaf", false, "ignore throttle, checkpoint and stop; the end of a lease still stops tasks")
-	f.DurationVar(&opt.Period, "period", 500*time.Millisecond, "time between syncs")
 	f.DurationVar(&opt.Grace, "grace", 5*time.Second, "longest wait for the confirmation of outcomes at the end")
 	for _, name := range []string{"name", "zone", "entries"} {
 		_ = cmd.MarkFlagRequired(name)
--- a/vbstand/worker/worker.go
+++ b/vbstand/worker/worker.go
@@ -10,14 +10,21 @@
 	"k8s.io/klog/v2"
 
 	"vanillabridge/core/clock"
+	"vanillabridge/core/lease"
 	"vanillabridge/core/model"
 	"vanillabridge/core/proto"
 	"vanillabridge/vbstand/entry"
 	"vanillabridge/vbstand/record"
 )
 
-// step is how often timers of tasks and the lease are looked at.
-const step = 20 * time.Millisecond
+const (
+	// step is how often timers of tasks and the lease are looked at.
+	step = 20 * time.Millisecond
+	// syncTimeout ends requests whose answer core/lease would drop as too old.
+	syncTimeout = 2 * time.Second
+	// leaseEnded is the reason of core/lease for a stop at the end of a lease.
+	leaseEnded = "lease ended"
+)
 
 // Options are the settings of a stand-in.
 type Options struct {
@@ -27,11 +34,10 @@
 	Size    model.Size
 	Entries []string
 	Seed    uint64
-	Sizes   float64 // ratio of true to declared use; 0 draws it by job
-	Times   float64 // ratio of true to declared run time; 0 draws it by job
-	NoStart bool    // fails every start
-	Deaf    bool    // ignores throttle, checkpoint and stop
-	Period  time.Duration
+	Sizes   float64       // ratio of true to declared use; 0 draws it by job
+	Times   float64       // ratio of true to declared run time; 0 draws it by job
+	NoStart bool          // fails every start
+	Deaf    bool          // ignores throttle, checkpoint and stop
 	Grace   time.Duration // longest wait for the confirmation of outcomes on SIGTERM
 }
 
@@ -40,14 +46,16 @@
 	opt         Options
 	journal     *record.Writer
 	entries     *entry.List
-	clock       clock.Source
 	incarnation model.Incarnation
-	holder      *holder
+	lease       *lease.Worker
 	tasks       map[model.TaskID]*task
+	last        clock.Millis // when tasks were advanced last
+	leader      string       // address of the zone leader, to sync with directly
+	post        func(sent clock.Millis, req proto.SyncRequest)
 	answers     chan answer
-	leader      string // address of the zone leader, to sync with directly
-	inFlight    bool
-	soon        bool // something happened that the leader should learn at once
+	inFlight    int
+	leaving     bool
+	unconfirmed int // tasks and outcomes in the last request
 }
 
 // answer is the result of one sync.
@@ -59,148 +67,186 @@
 }
 
 // New returns a worker that records to journal.
-func New(opt Options, journal *record.Writer, source clock.Source) (*Worker, error) {
-	list, err := entry.NewList(&http.Client{Timeout: maxAge.Std()}, opt.Entries)
+func New(opt Options, journal *record.Writer) (*Worker, error) {
+	list, err := entry.NewList(&http.Client{Timeout: syncTimeout}, opt.Entries)
 	if err != nil {
 		return nil, err
 	}
-	return &Worker{
+	w := &Worker{
 		opt:         opt,
 		journal:     journal,
 		entries:     list,
-		clock:       source,
 		incarnation: model.Incarnation(rand.Uint64() >> 1), // differs between starts with the same seed
-		holder:      newHolder(),
 		tasks:       map[model.TaskID]*task{},
-		answers:     make(chan answer, 1),
-	}, nil
+		answers:     make(chan answer),
+	}
+	w.lease = lease.New(lease.Config{
+		Worker: opt.Name, Incarnation: w.incarnation, Zone: opt.Zone, Rack: opt.Rack, Size: opt.Size,
+	})
+	w.post = w.send
+	return w, nil
 }
 
 // Run holds tasks until ctx ends, then stops them and waits until the outcomes are confirmed.
-func (w *Worker) Run(ctx context.Context) error {
+func (w *Worker) Run(ctx context.Context, source clock.Source) error {
 	klog.InfoS("worker runs", "name", w.opt.Name, "zone", w.opt.Zone, "size", w.opt.Size.String())
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
-	last := w.clock.Now()
-	nextSync, end := last, clock.Millis(0)
+	w.last = source.Now()
+	end := clock.Millis(0)
 	done := ctx.Done()
 	for {
 		select {
 		case <-done:
 			done = nil
-			end = w.clock.Now() + clock.FromStd(w.opt.Grace)
-			w.leave()
+			end = source.Now() + clock.FromStd(w.opt.Grace)
+			w.leave(source.Now())
 		case a := <-w.answers:
-			w.take(a)
+			w.take(source.Now(), a)
 		case <-ticker.C:
+			w.tick(source.Now())
 		}
-		now := w.clock.Now()
-		w.advance(now - last)
-		last = now
-		w.act(w.holder.tick(now))
-		if !w.inFlight && (now >= nextSync || w.soon) {
-			w.sync(now)
-			nextSync = now + clock.FromStd(w.opt.Period)
-		}
-		if w.holder.leaving && !w.inFlight && (len(w.holder.ends) == 0 || now >= end) {
-			klog.InfoS("worker ends", "name", w.opt.Name, "unconfirmed", len(w.holder.ends))
+		if w.leaving && w.inFlight == 0 && (w.unconfirmed == 0 || source.Now() >= end) {
+			klog.InfoS("worker ends", "name", w.opt.Name, "unconfirmed", w.unconfirmed)
 			return nil
 		}
 	}
 }
 
-func (w *Worker) leave() {
+// tick lets tasks run up to now and sends what is due.
+func (w *Worker) tick(now clock.Millis) {
+	d := now - w.last
+	w.last = now
+	// The lease comes first: after a pause it may have ended before the tasks did.
+	if w.lease.Expires() != 0 && now >= w.lease.Expires() {
+		w.step(now, lease.Tick{})
+	}
+	for _, id := range w.ids() {
+		if t := w.tasks[id]; t.advance(d) {
+			w.end(now, t, proto.EndDone, "")
+		}
+	}
+	if now < w.lease.Wake() {
+		return
+	}
+	for _, id := range w.ids() {
+		t := w.tasks[id]
+		w.step(now, lease.Measured{Task: id, Attempt: t.assigned.Attempt, Usage: t.usage(), Saved: t.saved})
+	}
+	w.step(now, lease.Tick{})
+}
+
+func (w *Worker) leave(now clock.Millis) {
 	klog.InfoS("worker leaves", "name", w.opt.Name, "tasks", len(w.tasks))
-	w.holder.leaving = true
-	w.soon = true
+	w.leaving = true
+	w.step(now, lease.Leave{})
 	for _, id := range w.ids() {
-		w.end(w.tasks[id], proto.EndStopped, "worker leaves")
+		w.end(now, w.tasks[id], proto.EndStopped, "worker leaves")
 	}
+	w.unconfirmed = 1 // until a request of a leaving worker was sent
 }
 
-// sync sends one request. At most one is in flight, so that answers arrive in order.
-func (w *Worker) sync(now clock.Millis) {
-	w.inFlight, w.soon = true, false
-	req := w.holder.request(proto.SyncRequest{
-		Worker: w.opt.Name, Incarnation: w.incarnation,
-		Zone: w.opt.Zone, Rack: w.opt.Rack, Size: w.opt.Size,
-	})
-	for i, held := range req.Held {
-		t := w.tasks[held.Task]
-		req.Held[i].Usage, req.Held[i].Saved = t.usage(), t.saved
+// take takes in the result of a sync.
+func (w *Worker) take(now clock.Millis, a answer) {
+	w.inFlight--
+	if a.err == nil {
+		w.leader = a.reply.Leader
+		w.step(now, lease.Reply{Sent: a.sent, Body: a.reply})
+		return
+	}
+	klog.V(1).InfoS("sync failed", "name", w.opt.Name, "entry", a.address, "err", a.err)
+	// Several requests to a paused instance fail one after the other; only the first moves on.
+	if w.leader == a.address {
+		w.leader = ""
+	}
+	if w.entries.Current() == a.address {
+		w.entries.Next()
+	}
+}
+
+// step gives an input to the lease and does what it asks for.
+func (w *Worker) step(now clock.Millis, in lease.Input) {
+	for _, out := range w.lease.Step(now, in) {
+		switch out := out.(type) {
+		case lease.Send:
+			w.unconfirmed = len(out.Request.Held) + len(out.Request.Ends)
+			w.post(now, out.Request)
+		case lease.Start:
+			w.start(now, out.Assigned)
+		case lease.Stop:
+			w.stop(now, out)
+		case lease.Throttle:
+			w.command(out.Task, func(t *task) { w.throttle(t, true) })
+		case lease.Resume:
+			w.command(out.Task, func(t *task) { w.throttle(t, false) })
+		case lease.Checkpoint:
+			w.command(out.Task, w.save)
+		case lease.Dropped:
+			klog.V(1).InfoS("answer dropped", "name", w.opt.Name, "reason", out.Reason)
+		}
 	}
+	if w.opt.Deaf && w.lease.Expires() == 0 {
+		// The lease asks for each stop once; a stop that was ignored is due now.
+		for _, id := range w.ids() {
+			w.end(now, w.tasks[id], proto.EndStopped, leaseEnded)
+		}
+	}
+}
+
+// send sends a request in a goroutine of its own.
+func (w *Worker) send(sent clock.Millis, req proto.SyncRequest) {
+	w.inFlight++
 	address := w.leader
 	if address == "" {
 		address = w.entries.Current()
 	}
 	go func() {
-		a := answer{sent: now, address: address}
-		ctx, cancel := context.WithTimeout(context.Background(), maxAge.Std())
+		a := answer{sent: sent, address: address}
+		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 		defer cancel()
 		a.err = w.entries.Do(ctx, http.MethodPost, address, "/v1/workers/sync", req, &a.reply)
 		w.answers <- a
 	}()
 }
 
-func (w *Worker) take(a answer) {
-	w.inFlight = false
-	if a.err != nil {
-		klog.V(1).InfoS("sync failed", "name", w.opt.Name, "entry", a.address, "err", a.err)
-		w.leader = ""
-		w.entries.Next()
+func (w *Worker) start(now clock.Millis, a proto.Assigned) {
+	t := newTask(a, factors{w.opt.Sizes, w.opt.Seed}, factors{w.opt.Times, w.opt.Seed})
+	switch {
+	case w.opt.NoStart:
+		w.end(now, t, proto.EndNoStart, "stand-in fails every start")
+		return
+	case w.leaving:
+		w.end(now, t, proto.EndStopped, "worker leaves")
 		return
 	}
-	w.leader = a.reply.Leader
-	w.act(w.holder.reply(a.sent, w.clock.Now(), a.reply))
+	w.tasks[a.Task] = t
+	w.throttle(t, a.Command == proto.CommandThrottle)
+	w.write(t, record.TaskStart, "", "")
+	w.step(now, lease.Began{Task: a.Task, Attempt: a.Attempt})
 }
 
-// act does what the holder wants.
-func (w *Worker) act(actions []action) {
-	for _, a := range actions {
-		t, held := w.tasks[a.assigned.Task]
-		if !held {
-			if a.command == proto.CommandRun || a.command == proto.CommandThrottle {
-				w.start(a.assigned)
-			}
-			continue
-		}
-		if w.opt.Deaf && a.reason != "lease ended" {
-			continue
-		}
-		switch a.command {
-		case proto.CommandRun:
-			w.throttle(t, false)
-		case proto.CommandThrottle:
-			w.throttle(t, true)
-		case proto.CommandCheckpoint:
-			t.save()
-			w.write(t, record.TaskSave, "", "")
-		case proto.CommandStop:
-			w.end(t, proto.EndStopped, a.reason)
-		}
+func (w *Worker) stop(now clock.Millis, out lease.Stop) {
+	t, ok := w.tasks[out.Task]
+	if !ok || (w.opt.Deaf && out.Reason != leaseEnded) {
+		return
 	}
+	w.end(now, t, proto.EndStopped, out.Reason)
 }
 
-func (w *Worker) start(a proto.Assigned) {
-	t := newTask(a, factors{w.opt.Sizes, w.opt.Seed}, factors{w.opt.Times, w.opt.Seed})
-	if w.opt.NoStart {
-		w.end(t, proto.EndNoStart, "stand-in fails every start")
-		return
+// command does something with a held task unless the stand-in ignores commands.
+func (w *Worker) command(id model.TaskID, do func(*task)) {
+	if t, ok := w.tasks[id]; ok && !w.opt.Deaf {
+		do(t)
 	}
-	w.tasks[a.Task] = t
-	w.holder.start(proto.Held{Task: a.Task, Attempt: a.Attempt, Phase: proto.PhaseRunning})
-	w.write(t, record.TaskStart, "", "")
-	w.soon = true
 }
 
-func (w *Worker) end(t *task, end proto.End, reason string) {
+func (w *Worker) end(now clock.Millis, t *task, end proto.End, reason string) {
 	delete(w.tasks, t.assigned.Task)
 	w.write(t, record.TaskEnd, end, reason)
-	w.holder.end(proto.TaskEnd{
+	w.step(now, lease.Finished{TaskEnd: proto.TaskEnd{
 		Task: t.assigned.Task, Attempt: t.assigned.Attempt, End: end, Reason: reason,
 		Usage: t.use, Time: t.ran, Saved: t.saved,
-	})
-	w.soon = true
+	}})
 }
 
 func (w *Worker) throttle(t *task, on bool) {
@@ -211,12 +257,11 @@
 	w.write(t, record.TaskThrottle, "", "")
 }
 
-func (w *Worker) advance(d clock.Millis) {
-	for _, id := range w.ids() {
-		if t := w.tasks[id]; t.advance(d) {
-			w.end(t, proto.EndDone, "")
-		}
-	}
+// save saves the progress; the task stays slow, because a checkpoint follows a throttle.
+func (w *Worker) save(t *task) {
+	t.throttled = true
+	t.save()
+	w.write(t, record.TaskSave, "", "")
 }
 
 // ids returns the tasks in a fixed order, so that journals of equal runs are equal.
