state: keep requests in the record type of core/once

The life cycle of a record stood twice, in core/state and in core/once; the zone now holds once.Record. A record that became unknown no longer turns done when a late answer arrives, because a caller may have been told; core/once already had it so.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -4,6 +4,7 @@
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
 	"vanillabridge/core/model"
+	"vanillabridge/core/once"
 	"vanillabridge/core/proto"
 )
 
@@ -84,36 +85,30 @@
 	At    clock.Millis `cbor:"2,keyasint"`
 }
 
-// RecordKey names a non-idempotent request.
-type RecordKey struct {
-	Caller model.Caller `cbor:"1,keyasint"`
-	Key    string       `cbor:"2,keyasint"`
-}
-
 // OpenRecord is committed before a non-idempotent request is dispatched.
 type OpenRecord struct {
-	Key      RecordKey    `cbor:"1,keyasint"`
-	Request  string       `cbor:"2,keyasint"` // identifier drawn by the entry instance
-	Digest   uint64       `cbor:"3,keyasint"` // of method, path and service: a key names one request
-	Deadline clock.Millis `cbor:"4,keyasint"`
-	At       clock.Millis `cbor:"5,keyasint"`
+	Key   once.Key     `cbor:"1,keyasint"`
+	Token once.Token   `cbor:"2,keyasint"`
+	Limit clock.Millis `cbor:"3,keyasint"` // time to the deadline of the request
+	At    clock.Millis `cbor:"4,keyasint"`
 }
 
 // CloseRecord stores the answer of a non-idempotent request.
 type CloseRecord struct {
-	Key     RecordKey    `cbor:"1,keyasint"`
-	Request string       `cbor:"2,keyasint"`
-	Answer  Answer       `cbor:"3,keyasint"`
-	At      clock.Millis `cbor:"4,keyasint"`
+	Key    once.Key     `cbor:"1,keyasint"`
+	Token  once.Token   `cbor:"2,keyasint"`
+	Answer once.Answer  `cbor:"3,keyasint"`
+	At     clock.Millis `cbor:"4,keyasint"`
 }
 
 // DropRecord forgets a request of which no byte was sent.
 type DropRecord struct {
-	Key     RecordKey `cbor:"1,keyasint"`
-	Request string    `cbor:"2,keyasint"`
+	Key   once.Key     `cbor:"1,keyasint"`
+	Token once.Token   `cbor:"2,keyasint"`
+	At    clock.Millis `cbor:"3,keyasint"`
 }
 
-// Expire marks overdue records as unknown and forgets old records and old ended jobs.
+// Expire forgets old records and old ended jobs.
 type Expire struct {
 	At   clock.Millis  `cbor:"1,keyasint"`
 	Keep []model.JobID `cbor:"2,keyasint,omitempty"` // jobs that the configuration names, and would start again
--- a/core/state/records.go
+++ b/core/state/records.go
@@ -3,77 +3,72 @@
 import (
 	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
+	"vanillabridge/core/once"
 )
 
 // maxRecords bounds the memory of a zone's records. Forgetting one early would allow a second
 // run, so a full table refuses new requests instead.
 const maxRecords = 1 << 20
 
-// recordDropped marks a record of which no byte was sent; it stays in the list of records
-// until that is next compacted.
-const recordDropped RecordPhase = "dropped"
-
-func (z *Zone) openRecord(c OpenRecord) Result {
-	r, ok := z.records[c.Key]
-	if !ok {
-		return z.newRecord(c)
-	}
-	if r.Digest != c.Digest {
-		return Result{Record: RecordMisused, Reason: "the key was used for another request"}
-	}
-	// A proposal that was retried after a lost answer finds its own record: it has not been
-	// dispatched, because dispatch waits for this result.
-	if r.Request == c.Request && r.Phase == RecordRunning {
-		return Result{Record: RecordFresh}
-	}
-	return Result{Record: r.Phase, Answer: r.Answer}
+// entry is a record in the list of records, which is ordered by their begin.
+type entry struct {
+	Key    once.Key    `cbor:"1,keyasint"`
+	Record once.Record `cbor:"2,keyasint"`
 }
 
-func (z *Zone) newRecord(c OpenRecord) Result {
-	if len(z.records) >= maxRecords {
-		return Result{Record: RecordFull, Reason: "the table of requests is full"}
+func (z *Zone) openRecord(c OpenRecord) Result {
+	e, ok := z.records[c.Key]
+	if !ok || e.Record.At(c.At).Phase == 0 {
+		if len(z.records) >= maxRecords {
+			return Result{Record: RecordFull, Reason: "the table of requests is full"}
+		}
+		e = &entry{Key: c.Key}
+		z.records[c.Key] = e
+		z.data.Records = append(z.data.Records, e)
 	}
-	r := &Record{
-		Key:      c.Key,
-		Request:  c.Request,
-		Digest:   c.Digest,
-		Phase:    RecordRunning,
-		Deadline: c.Deadline,
-		At:       c.At,
+	record, result := e.Record.Begin(c.At, c.Token, c.Limit)
+	e.Record = record
+	switch result := result.(type) {
+	case once.Fresh:
+		return Result{Changed: true, Record: RecordFresh}
+	case once.Done:
+		return Result{Record: RecordDone, Answer: &result.Answer}
+	case once.Running:
+		return Result{Record: RecordRunning}
+	default:
+		return Result{Record: RecordUnknown}
 	}
-	z.records[c.Key] = r
-	z.open[c.Key] = r
-	z.data.Records = append(z.data.Records, r)
-	return Result{Changed: true, Record: RecordFresh}
 }
 
 func (z *Zone) closeRecord(c CloseRecord) Result {
-	r, ok := z.records[c.Key]
-	if !ok || r.Request != c.Request || r.Phase == RecordDone {
+	e, ok := z.records[c.Key]
+	if !ok {
+		return Result{Reason: "no record of this request"}
+	}
+	record, done := e.Record.Finish(c.At, c.Token, c.Answer)
+	if !done {
 		return Result{Reason: "no open record of this request"}
 	}
-	r.Phase = RecordDone
-	answer := c.Answer
-	r.Answer = &answer
-	delete(z.open, c.Key)
+	e.Record = record
 	return Result{Changed: true, Record: RecordDone}
 }
 
 // dropRecord forgets a request that surely did not run. A record that has become unknown
 // stays: its caller may have been told so.
 func (z *Zone) dropRecord(c DropRecord) Result {
-	r, ok := z.records[c.Key]
-	if !ok || r.Request != c.Request || r.Phase != RecordRunning {
+	e, ok := z.records[c.Key]
+	if !ok {
+		return Result{Reason: "no record of this request"}
+	}
+	e.Record = e.Record.Abort(c.At, c.Token)
+	if e.Record.Phase != 0 {
 		return Result{Reason: "no open record of this request"}
 	}
-	r.Phase = recordDropped
 	delete(z.records, c.Key)
-	delete(z.open, c.Key)
 	return Result{Changed: true}
 }
 
-// expire marks overdue records as unknown, so that a caller who asks again hears it, and
-// forgets what is older than its retention.
+// expire forgets what is older than its retention.
 func (z *Zone) expire(c Expire) Result {
 	changed := z.expireRecords(c.At)
 	keep := make(map[model.JobID]bool, len(c.Keep))
@@ -91,32 +86,28 @@
 
 func (z *Zone) expireRecords(at clock.Millis) bool {
 	changed := false
-	for key, r := range z.open {
-		if r.Deadline+recordGrace < at {
-			r.Phase = RecordUnknown
-			delete(z.open, key)
-			changed = true
+	for len(z.data.Records) > 0 {
+		e := z.data.Records[0]
+		current := z.records[e.Key] == e
+		if current && e.Record.At(at).Phase != 0 {
+			break
 		}
-	}
-	for len(z.data.Records) > 0 && z.data.Records[0].At+recordAge < at {
-		r := z.data.Records[0]
-		if z.records[r.Key] == r {
-			delete(z.records, r.Key)
-			delete(z.open, r.Key)
+		if current {
+			delete(z.records, e.Key)
+			changed = true // entries outside the index depend on when a snapshot was taken
 		}
 		z.data.Records[0] = nil
 		z.data.Records = z.data.Records[1:]
-		changed = true
 	}
 	return changed
 }
 
-// compactRecords leaves dropped records out of the list.
+// compactRecords leaves out entries that are no longer in the index.
 func (z *Zone) compactRecords() {
-	kept := make([]*Record, 0, len(z.records))
-	for _, r := range z.data.Records {
-		if r.Phase != recordDropped {
-			kept = append(kept, r)
+	kept := make([]*entry, 0, len(z.records))
+	for _, e := range z.data.Records {
+		if z.records[e.Key] == e {
+			kept = append(kept, e)
 		}
 	}
 	z.data.Records = kept
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -3,6 +3,7 @@
 import (
 	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
+	"vanillabridge/core/once"
 )
 
 // RecordPhase is the state of the record of a non-idempotent request.
@@ -18,34 +19,18 @@
 	RecordDone RecordPhase = "done"
 	// RecordUnknown says that an earlier request may or may not have run.
 	RecordUnknown RecordPhase = "unknown"
-	// RecordMisused says that the key was used before for another request.
-	RecordMisused RecordPhase = "misused"
 	// RecordFull says that no new request can be recorded; it was not dispatched.
 	RecordFull RecordPhase = "full"
 )
 
-// Answer is the stored answer of a non-idempotent request.
-type Answer struct {
-	Status  int      `cbor:"1,keyasint"`
-	Header  []Header `cbor:"2,keyasint"`
-	Body    []byte   `cbor:"3,keyasint"`
-	Omitted bool     `cbor:"4,keyasint"` // the body exceeded the limit and was not kept
-}
-
-// Header is one header line of an answer.
-type Header struct {
-	Name  string `cbor:"1,keyasint"`
-	Value string `cbor:"2,keyasint"`
-}
-
 // Result is what applying a command returns to its proposer.
 type Result struct {
-	Changed bool        `cbor:"1,keyasint"`           // the command changed the state
-	Reason  string      `cbor:"2,keyasint,omitempty"` // why it did not
-	Record  RecordPhase `cbor:"3,keyasint,omitempty"`
-	Answer  *Answer     `cbor:"4,keyasint,omitempty"`
-	Taken   []bool      `cbor:"5,keyasint,omitempty"` // of each item of Assign, Start and Finish
-	Parts   []Result    `cbor:"6,keyasint,omitempty"` // of each command of a Batch
+	Changed bool         `cbor:"1,keyasint"`           // the command changed the state
+	Reason  string       `cbor:"2,keyasint,omitempty"` // why it did not
+	Record  RecordPhase  `cbor:"3,keyasint,omitempty"`
+	Answer  *once.Answer `cbor:"4,keyasint,omitempty"`
+	Taken   []bool       `cbor:"5,keyasint,omitempty"` // of each item of Assign, Start and Finish
+	Parts   []Result     `cbor:"6,keyasint,omitempty"` // of each command of a Batch
 }
 
 // Change tells the runtime on a replica what a command changed.
--- a/core/state/zone.go
+++ b/core/state/zone.go
@@ -3,18 +3,12 @@
 import (
 	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
+	"vanillabridge/core/once"
 	"vanillabridge/core/proto"
 )
 
-// Retention of what is kept only so that it can be asked for.
-const (
-	// recordGrace is added to the deadline of a request before its record becomes unknown.
-	recordGrace = 5 * clock.Second
-	// recordAge is how long a record answers resends; a resend after it would run again.
-	recordAge = 24 * clock.Hour
-	// jobAge is how long an ended job can be asked for.
-	jobAge = 24 * clock.Hour
-)
+// jobAge is how long an ended job can be asked for.
+const jobAge = 24 * clock.Hour
 
 // Task is the record of one task.
 type Task struct {
@@ -55,31 +49,19 @@
 	Failed    bool         `cbor:"9,keyasint,omitempty"` // cancelled because it failed for good
 }
 
-// Record is the record of a non-idempotent request.
-type Record struct {
-	Key      RecordKey    `cbor:"1,keyasint"`
-	Request  string       `cbor:"2,keyasint"`
-	Digest   uint64       `cbor:"3,keyasint"`
-	Phase    RecordPhase  `cbor:"4,keyasint"`
-	Deadline clock.Millis `cbor:"5,keyasint"`
-	At       clock.Millis `cbor:"6,keyasint"`
-	Answer   *Answer      `cbor:"7,keyasint,omitempty"`
-}
-
 // zoneData is what a snapshot of a zone holds.
 type zoneData struct {
 	Version  uint64               `cbor:"1,keyasint"`
 	Document string               `cbor:"2,keyasint"`
 	Jobs     map[model.JobID]*Job `cbor:"3,keyasint"`
-	Records  []*Record            `cbor:"4,keyasint"` // in the order in which they were opened
+	Records  []*entry             `cbor:"4,keyasint"` // in the order in which they began
 	Adopted  clock.Millis         `cbor:"5,keyasint"`
 }
 
 // Zone is the replicated state of one availability zone. It is not safe for concurrent use.
 type Zone struct {
 	data    zoneData
-	records map[RecordKey]*Record
-	open    map[RecordKey]*Record // the records in phase running
+	records map[once.Key]*entry
 	held    map[model.WorkerID]map[model.TaskID]struct{}
 }
 
@@ -112,13 +94,9 @@
 
 // index rebuilds what is derived from the data.
 func (z *Zone) index() {
-	z.records = make(map[RecordKey]*Record, len(z.data.Records))
-	z.open = map[RecordKey]*Record{}
-	for _, r := range z.data.Records {
-		z.records[r.Key] = r
-		if r.Phase == RecordRunning {
-			z.open[r.Key] = r
-		}
+	z.records = make(map[once.Key]*entry, len(z.data.Records))
+	for _, e := range z.data.Records {
+		z.records[e.Key] = e
 	}
 	z.held = map[model.WorkerID]map[model.TaskID]struct{}{}
 	for id, job := range z.data.Jobs {
--- a/core/state/zone_test.go
+++ b/core/state/zone_test.go
@@ -9,6 +9,7 @@
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
+	"vanillabridge/core/once"
 	"vanillabridge/core/proto"
 	"vanillabridge/core/state"
 )
@@ -22,10 +23,12 @@
 		return model.TaskID{Job: job.Draw(t, "job"), Index: rapid.IntRange(-1, 3).Draw(t, "index")}
 	})
 	attempt := rapid.IntRange(0, 4)
-	key := rapid.Custom(func(t *rapid.T) state.RecordKey {
-		return state.RecordKey{Caller: "c", Key: rapid.SampledFrom([]string{"k", "l"}).Draw(t, "key")}
+	key := rapid.Custom(func(t *rapid.T) once.Key {
+		return once.Key{Caller: "c", Key: rapid.SampledFrom([]string{"k", "l"}).Draw(t, "key")}
+	})
+	token := rapid.Custom(func(t *rapid.T) once.Token {
+		return once.Token{Number: rapid.Uint64Range(1, 3).Draw(t, "number")}
 	})
-	request := rapid.SampledFrom([]string{"q", "r", "s"})
 	return rapid.Custom(func(t *rapid.T) state.Command {
 		switch rapid.IntRange(0, 11).Draw(t, "kind") {
 		case 0:
@@ -51,16 +54,16 @@
 			next := rapid.SampledFrom([]proto.TaskPhase{proto.TaskWaiting, proto.TaskDone, proto.TaskFailed}).Draw(t, "next")
 			return state.Finish{At: now, Items: []state.TaskEnd{{Task: task.Draw(t, "task"), Attempt: attempt.Draw(t, "attempt"), Next: next}}}
 		case 7:
-			return state.OpenRecord{Key: key.Draw(t, "key"), Request: request.Draw(t, "request"), Deadline: now + 2*clock.Second, At: now}
+			return state.OpenRecord{Key: key.Draw(t, "key"), Token: token.Draw(t, "token"), Limit: 2 * clock.Second, At: now}
 		case 8:
-			return state.CloseRecord{Key: key.Draw(t, "key"), Request: request.Draw(t, "request"), Answer: state.Answer{Status: 200}, At: now}
+			return state.CloseRecord{Key: key.Draw(t, "key"), Token: token.Draw(t, "token"), Answer: once.Answer{Status: 200}, At: now}
 		case 10:
 			return state.Batch{Commands: []state.Command{
 				state.Expire{At: now, Keep: []model.JobID{"a/r"}},
 				state.CancelJob{Job: job.Draw(t, "job"), At: now, Failed: true},
 			}}
 		case 9:
-			return state.DropRecord{Key: key.Draw(t, "key"), Request: request.Draw(t, "request")}
+			return state.DropRecord{Key: key.Draw(t, "key"), Token: token.Draw(t, "token"), At: now}
 		default:
 			return state.Expire{At: now}
 		}
@@ -151,26 +154,26 @@
 func TestRecordGivesOneRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		zone := state.NewZone()
-		key := state.RecordKey{Caller: "c", Key: "k"}
-		runner := ""
+		key := once.Key{Caller: "c", Key: "k"}
+		runner := once.Token{}
 		now := clock.Millis(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += clock.Millis(rapid.Int64Range(0, 3000).Draw(t, "pause"))
-			request := rapid.SampledFrom([]string{"q", "r", "s"}).Draw(t, "request")
-			switch rapid.IntRange(0, 3).Draw(t, "kind") {
-			case 0:
-				got, _ := zone.Apply(state.OpenRecord{Key: key, Request: request, Deadline: now + 2000, At: now})
-				if got.Record == state.RecordFresh && runner != "" && runner != request {
-					t.Fatalf("request %s may run after %s", request, runner)
+			token := once.Token{Number: rapid.Uint64Range(1, 3).Draw(t, "token")}
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0, 1:
+				got, _ := zone.Apply(state.OpenRecord{Key: key, Token: token, Limit: 2000, At: now})
+				if got.Record == state.RecordFresh && runner != (once.Token{}) && runner != token {
+					t.Fatalf("request %v may run after %v", token, runner)
 				}
 				if got.Record == state.RecordFresh {
-					runner = request
+					runner = token
 				}
-			case 1:
-				zone.Apply(state.CloseRecord{Key: key, Request: request, At: now})
 			case 2:
-				if got, _ := zone.Apply(state.DropRecord{Key: key, Request: request}); got.Changed {
-					runner = ""
+				zone.Apply(state.CloseRecord{Key: key, Token: token, At: now})
+			case 3:
+				if got, _ := zone.Apply(state.DropRecord{Key: key, Token: token, At: now}); got.Changed {
+					runner = once.Token{}
 				}
 			default:
 				zone.Apply(state.Expire{At: now})
