--- /dev/null
+++ b/vbridged/group/propose.go
@@ -0,0 +1,192 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"vanillabridge/core/fault"
+	"vanillabridge/core/model"
+	"vanillabridge/core/quorum"
+)
+
+// waiter is a proposal whose caller waits.
+type waiter struct {
+	id    uint64
+	data  []byte
+	term  uint64
+	taken atomic.Bool
+	done  chan struct{}
+	// result and err are set before done is closed.
+	result []byte
+	err    error
+}
+
+func (w *waiter) finish(result []byte, err error) {
+	w.result, w.err = result, err
+	close(w.done)
+}
+
+// Propose replicates a command and returns what Machine.Apply returned for it.
+//
+// fault.ErrNotLeader, fault.ErrUnavailable, fault.ErrOverloaded and fault.ErrTooLarge say that
+// the command surely has no effect; fault.ErrUnknown says that it may have one, now or later.
+// Where another replica leads, the result is that of the leader's machine; the machine of this
+// replica may lag behind.
+func (g *Group) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	for {
+		name, mine, err := g.awaitLeader(ctx)
+		if err != nil {
+			return nil, err
+		}
+		var res []byte
+		if mine {
+			res, err = g.ProposeHere(ctx, data)
+		} else {
+			res, err = g.forward(ctx, name, data)
+		}
+		if !errors.Is(err, fault.ErrNotLeader) {
+			return res, err
+		}
+		if err := g.awaitChange(ctx, name, mine); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// ProposeHere proposes at this replica only, for proposals that others forward.
+func (g *Group) ProposeHere(ctx context.Context, data []byte) ([]byte, error) {
+	if len(data) > maxProposal {
+		return nil, fault.Wrap(fault.ErrTooLarge, "proposal of %d bytes to group %q", len(data), g.cfg.Group)
+	}
+	if err := g.Err(); err != nil {
+		return nil, err
+	}
+	w := &waiter{id: g.nextID.Add(1), data: data, done: make(chan struct{})}
+	g.events.push(event{proposal: w})
+	select {
+	case <-w.done:
+		return w.result, w.err
+	case <-ctx.Done():
+		return nil, g.abandon(w, context.Cause(ctx))
+	case <-g.done:
+		return nil, g.abandon(w, g.Err())
+	}
+}
+
+// abandon tells what is known about a proposal whose caller stops waiting.
+func (g *Group) abandon(w *waiter, cause error) error {
+	if w.taken.CompareAndSwap(false, true) {
+		return fault.Wrap(fault.ErrUnavailable, "proposal to group %q was withdrawn: %v", g.cfg.Group, cause)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.proposed, w.id)
+	for i, p := range g.pending {
+		if p == w {
+			delete(g.pending, i)
+		}
+	}
+	select {
+	case <-w.done:
+		return w.err
+	default:
+	}
+	return fault.Wrap(fault.ErrUnknown, "proposal to group %q: %v", g.cfg.Group, cause)
+}
+
+// admit takes a proposal from its caller, unless the caller has given up.
+func (g *Group) admit(w *waiter) bool {
+	if !w.taken.CompareAndSwap(false, true) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.proposed[w.id] = w
+	return true
+}
+
+func (g *Group) accepted(a quorum.Accepted) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.proposed[a.ID]
+	if w == nil {
+		return
+	}
+	delete(g.proposed, a.ID)
+	if old := g.pending[a.Index]; old != nil {
+		old.finish(nil, fault.Wrap(fault.ErrNotLeader, "group %q replaced the entry at index %d", g.cfg.Group, a.Index))
+	}
+	w.term = a.Term
+	g.pending[a.Index] = w
+}
+
+func (g *Group) refused(r quorum.Refuse) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.Read {
+		g.finishRead(r.ID, readResult{err: r.Err})
+		return
+	}
+	if w := g.proposed[r.ID]; w != nil {
+		delete(g.proposed, r.ID)
+		w.finish(nil, r.Err)
+	}
+}
+
+// forward proposes at the leader.
+func (g *Group) forward(ctx context.Context, to model.Instance, data []byte) ([]byte, error) {
+	if g.cfg.Forwarder == nil {
+		return nil, fault.Wrap(fault.ErrUnavailable, "group %q is led by %q and has no forwarder", g.cfg.Group, to)
+	}
+	res, err := g.cfg.Forwarder.Propose(ctx, to, g.cfg.Group, data)
+	if err == nil {
+		return res, nil
+	}
+	for _, sure := range []error{fault.ErrNotLeader, fault.ErrUnavailable, fault.ErrOverloaded, fault.ErrTooLarge, fault.ErrUnknown} {
+		if errors.Is(err, sure) {
+			return nil, fault.Wrap(err, "forward to %q", to)
+		}
+	}
+	return nil, fault.Wrap(fault.ErrUnknown, "forward to %q: %v", to, err)
+}
+
+// awaitLeader waits until a leader is known.
+func (g *Group) awaitLeader(ctx context.Context) (name model.Instance, mine bool, err error) {
+	for {
+		g.mu.Lock()
+		s, changed, err := g.state, g.changed, g.err
+		g.mu.Unlock()
+		if err != nil {
+			return "", false, err
+		}
+		if !s.Known.IsZero() {
+			return s.Known.Name, s.Leader, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return "", false, fault.Wrap(fault.ErrUnavailable, "group %q has no known leader: %v", g.cfg.Group, context.Cause(ctx))
+		}
+	}
+}
+
+// awaitChange waits until another leader is known than the one that refused.
+func (g *Group) awaitChange(ctx context.Context, name model.Instance, mine bool) error {
+	for {
+		g.mu.Lock()
+		s, changed, err := g.state, g.changed, g.err
+		g.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		if s.Known.Name != name || s.Leader != mine {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fault.Wrap(fault.ErrNotLeader, "group %q: %q does not lead: %v", g.cfg.Group, name, context.Cause(ctx))
+		}
+	}
+}
