Render and test the timeline; test the configuration's parser and checks

Change: core/trace renders text, JSON lines and one HTML page with a lane for each process. core/spec reports a section that cannot be read without follow-on errors, names the section that took a name first, and prints durations in the largest whole unit. Ruled out: writing to the sink within Record, because a slow disk would then delay decisions; the owner calls Flush instead.

--- a/core/spec/check.go
+++ b/core/spec/check.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
 
-	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
 )
 
@@ -18,7 +16,7 @@
 // author about them, or the Problems for which it is refused. An empty list of places skips
 // the checks of zones, for a library program that does not know them.
 func (d Document) Check(places []Place) (Cell, []Note, error) {
-	c := &checker{places: make(map[model.Zone]model.Region, len(places)), seen: map[string]bool{}}
+	c := &checker{places: make(map[model.Zone]model.Region, len(places)), seen: map[string]string{}}
 	c.cell.named = map[string]model.Work{}
 	for _, p := range places {
 		c.places[p.Zone] = p.Region
@@ -29,7 +27,7 @@
 	for _, s := range d.sorted() {
 		c.section(s)
 	}
-	if !c.seen[string(KindCell)] {
+	if _, stated := c.seen[string(KindCell)]; !stated {
 		c.problem(string(KindCell), "version", "is missing, want the version in force plus one")
 	}
 	if len(c.problems) == 0 {
@@ -43,7 +41,7 @@
 
 type checker struct {
 	places   map[model.Zone]model.Region
-	seen     map[string]bool
+	seen     map[string]string // by set of names and name: the first section
 	cell     Cell
 	problems Problems
 	notes    []Note
@@ -58,56 +56,52 @@
 }
 
 func (c *checker) section(s section) {
+	if s.kind == headless {
+		c.problem("", "", "keys stand before the first section, want [cell] above them")
+		return
+	}
 	if _, known := table[s.kind]; !known {
 		c.problem(s.title(), "", "unknown kind of section, want one of cell, team, service, batch, gang, route, caller")
 		return
 	}
 	c.name(s)
+	before := len(c.problems)
 	v := c.values(s)
-	base := v.base(s.name)
+	readable := len(c.problems) == before
 	switch s.kind {
 	case KindCell:
 		c.cell.version = uint64(v["version"].n)
 	case KindTeam:
-		c.cell.teams = append(c.cell.teams, Team{Name: model.Team(s.name), Quota: v.size(), Floor: v.int("floor")})
-	case KindService:
-		c.work(s, model.Service{Base: base})
-	case KindBatch:
-		c.work(s, model.Batch{Base: base, Run: v["run"].text, Time: v.millis("time"), Checkpoint: v["checkpoint"].n != 0})
-	case KindGang:
-		c.work(s, model.Gang{Base: base, Run: v["run"].text, Time: v.millis("time"), Checkpoint: v["checkpoint"].n != 0})
+		c.cell.teams = append(c.cell.teams, v.team(s.name))
 	case KindRoute:
-		c.route(s, Route{
-			Service: s.name, Deadline: v.millis("deadline"), Queue: v.int("queue"),
-			Attempts: v.int("attempts"), Budget: v.int("budget"), Backoff: v.millis("backoff"),
-		})
+		c.route(s, v.route(s.name), readable)
 	case KindCaller:
-		c.cell.callers = append(c.cell.callers, Caller{
-			Name: model.Caller(s.name), Share: v.int("share"), Class: model.Urgency(v["class"].n),
-		})
+		c.cell.callers = append(c.cell.callers, v.caller(s.name))
+	default:
+		c.work(s, v.work(s))
 	}
 }
 
 // name checks the name of a section. Services, batches and gangs share one set of names,
 // because a job is identified by name and run label alone.
 func (c *checker) name(s section) {
-	space := string(s.kind)
-	if isWorkKind(s.kind) {
-		space = "work"
-	}
 	if s.kind == KindCell {
 		if s.name != "" {
 			c.problem(s.title(), "", "takes no name, want [cell]")
 		}
 	} else if err := CheckName(s.name); err != nil {
 		c.problem(s.title(), "", "name: %v", err)
-	} else {
-		space += " " + s.name
+		return
 	}
-	if c.seen[space] {
-		c.problem(s.title(), "", "is defined more than once; services, batches and gangs share their names")
+	space := s.title()
+	if isWorkKind(s.kind) {
+		space = "work " + s.name
+	}
+	if first, taken := c.seen[space]; taken {
+		c.problem(s.title(), "", "the name is taken by [%s]; services, batches and gangs share their names", first)
+		return
 	}
-	c.seen[space] = true
+	c.seen[space] = s.title()
 }
 
 func isWorkKind(k Kind) bool {
@@ -168,24 +162,3 @@
 	}
 	return k.unit.print(value{n: k.min}) + " to " + k.unit.print(value{n: k.max})
 }
-
-type values map[string]value
-
-func (v values) int(key string) int { return int(v[key].n) }
-
-func (v values) millis(key string) clock.Millis { return clock.Millis(v[key].n) }
-
-func (v values) size() model.Size {
-	return model.Size{
-		CPU:    model.Millicores(v["cpu"].n),
-		Memory: model.Mebibytes(v["memory"].n),
-		Accel:  model.Accelerators(v["accel"].n),
-	}
-}
-
-func (v values) base(name string) model.Base {
-	return model.Base{
-		Name: name, Team: model.Team(v["team"].text), Zones: slices.Clone(v["zones"].zones),
-		Size: v.size(), Urgency: model.Urgency(v["urgency"].n), Count: v.int("count"),
-	}
-}
--- a/core/spec/parse.go
+++ b/core/spec/parse.go
@@ -29,8 +29,8 @@
 	var d Document
 	for _, s := range file.Sections() {
 		read := readSection(s)
-		if s.Name() == ini.DefaultSection && len(read.pairs) == 0 {
-			continue // the library's section for keys before the first header
+		if read.kind == headless && len(read.pairs) == 0 {
+			continue
 		}
 		d.sections = append(d.sections, read)
 	}
@@ -64,6 +64,9 @@
 	return nil
 }
 
+// headless is the kind of the section that holds the keys before the first header.
+const headless Kind = "DEFAULT"
+
 // maxLines bounds the lines of a section, comments included.
 const maxLines = 1000
 
@@ -73,6 +76,9 @@
 
 func readSection(s *ini.Section) section {
 	words := strings.Fields(s.Name())
+	if s.Name() == ini.DefaultSection {
+		words = []string{string(headless)}
+	}
 	out := section{}
 	if len(words) > 0 {
 		out.kind = Kind(words[0])
--- a/core/spec/rules.go
+++ b/core/spec/rules.go
@@ -15,8 +15,8 @@
 	c.zones(s, base)
 	switch w := w.(type) {
 	case model.Service:
-		if base.Count < len(base.Zones) {
-			c.note(s.title(), "count", "%d replicas for %d zones leave zones without a replica", base.Count, len(base.Zones))
+		if base.Count > 0 && base.Count < len(base.Zones) {
+			c.note(s.title(), "count", "is %d for %d zones, so some zones have no replica", base.Count, len(base.Zones))
 		}
 	case model.Batch:
 		c.label(s, w.Run, base.Zones)
@@ -65,14 +65,14 @@
 }
 
 // route checks that retries end before the deadline: a later one would only add load.
-func (c *checker) route(s section, r Route) {
+func (c *checker) route(s section, r Route, readable bool) {
 	c.cell.routes = append(c.cell.routes, r)
-	if r.Attempts < 2 || r.Attempts > MaxAttempts {
+	if !readable {
 		return
 	}
 	// The waits are backoff, 2*backoff, 4*backoff and so on.
 	waits := r.Backoff * ((1 << (r.Attempts - 1)) - 1)
-	if waits >= r.Deadline {
+	if waits > 0 && waits >= r.Deadline {
 		c.problem(s.title(), "backoff", "the waits of %d attempts take %s, want less than the deadline %s",
 			r.Attempts, printDuration(waits), printDuration(r.Deadline))
 	}
--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -1,24 +1,47 @@
 package spec_test
 
 import (
+	"errors"
+	"flag"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"vanillabridge/core/fault"
 	"vanillabridge/core/model"
 	"vanillabridge/core/spec"
 )
 
+var update = flag.Bool("update", false, "rewrite the golden files")
+
 var places = []spec.Place{
 	{Zone: "east-a", Region: "east"},
 	{Zone: "west-a", Region: "west"},
 	{Zone: "north-a", Region: "north"},
 }
 
-func parseFile(t *testing.T, name string) spec.Document {
+func golden(t *testing.T, file, got string) {
 	t.Helper()
-	text, err := os.ReadFile("testdata/" + name)
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", file, diff)
+	}
+}
+
+func parseFile(t *testing.T, file string) spec.Document {
+	t.Helper()
+	text, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,9 +52,39 @@
 	return d
 }
 
-// Guards against a parser that refuses or misreads the example of the design page.
-func TestDesignExample(t *testing.T) {
-	cell, _, err := parseFile(t, "cell.ini").Check(places)
+// Guards against careless input that is accepted in silence, and against a message without
+// section, key and limit.
+func TestCheckGolden(t *testing.T) {
+	files, _ := filepath.Glob("testdata/check/*.ini")
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			cell, notes, err := parseFile(t, file).Check(places)
+			var out strings.Builder
+			if err != nil {
+				out.WriteString("refused\n" + err.Error() + "\n")
+				if !errors.Is(err, fault.ErrInvalid) {
+					t.Errorf("errors.Is(%v, ErrInvalid) = false", err)
+				}
+			}
+			out.WriteString("\nnotes\n")
+			for _, n := range notes {
+				out.WriteString(n.String() + "\n")
+			}
+			if err == nil {
+				text, err := cell.Document().Text()
+				if err != nil {
+					t.Fatal(err)
+				}
+				out.WriteString("\naccepted\n" + text)
+			}
+			golden(t, strings.TrimSuffix(file, ".ini")+".golden", out.String())
+		})
+	}
+}
+
+// Guards against a parser that misreads the example of the design page.
+func TestExample(t *testing.T) {
+	cell, _, err := parseFile(t, "testdata/check/example.ini").Check(places)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,3 +103,47 @@
 		t.Errorf("version %d replaces %d, want 7 and 6", cell.Version(), cell.Base())
 	}
 }
+
+// Guards against a difference that hides a change, or shows another form of the same value.
+func TestDiffGolden(t *testing.T) {
+	old := parseFile(t, "testdata/check/example.ini")
+	changed := old.WithVersion(8).Without(spec.KindGang, "train").Without(spec.KindCaller, "portal").
+		WithCaller(spec.Caller{Name: "portal", Share: 4, Class: model.Urgent}).
+		WithTeam(spec.Team{Name: "beta", Quota: model.Size{CPU: 1000, Memory: 1024}})
+	golden(t, "testdata/diff.golden", spec.Diff(old, changed))
+	same, err := spec.Parse("[batch a]\ntime = 1m\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := spec.Diff(same, spec.Document{}.WithBatch(model.Batch{Base: model.Base{Name: "a"}, Time: 60_000})); diff != "~ [batch a] urgency: (none) -> low\n" {
+		t.Errorf("difference of 1m and 60s:\n%s", diff)
+	}
+}
+
+// Guards against text that exhausts memory or reaches the library before it is bounded.
+func TestParseLimits(t *testing.T) {
+	for name, text := range map[string]string{
+		"text":     strings.Repeat("; x\n", spec.MaxText/4+1),
+		"line":     "[team " + strings.Repeat("a", spec.MaxLine) + "]\n",
+		"sections": strings.Repeat("[a]\n", spec.MaxSections+1),
+		"lines":    "[team a]\n" + strings.Repeat("cpu = 1m\n", 1001),
+	} {
+		if _, err := spec.Parse(text); !errors.Is(err, fault.ErrTooLarge) {
+			t.Errorf("%s: error %v, want ErrTooLarge", name, err)
+		}
+	}
+	for _, text := range []string{"[team a\n", "no delimiter\n", "[a]\nb = \x00\n"} {
+		if _, err := spec.Parse(text); !errors.Is(err, fault.ErrInvalid) {
+			t.Errorf("%q: error %v, want ErrInvalid", text, err)
+		}
+	}
+}
+
+// Guards against a name or a value that adds sections to the printed text.
+func TestPrintRefusesInjection(t *testing.T) {
+	for _, name := range []string{"a]\n[team b", "a b", "a;b", `"a"`, "a]"} {
+		if text, err := spec.New(1).WithTeam(spec.Team{Name: model.Team(name)}).Text(); !errors.Is(err, fault.ErrInvalid) {
+			t.Errorf("team %q printed as %q, error %v, want ErrInvalid", name, text, err)
+		}
+	}
+}
--- a/core/spec/value.go
+++ b/core/spec/value.go
@@ -80,7 +80,7 @@
 func readNumber(text, suffix string) (value, error) {
 	digits, ok := strings.CutSuffix(text, suffix)
 	if !ok {
-		return value{}, fmt.Errorf("%q has no unit, want a whole number followed by %s", text, suffix)
+		return value{}, fmt.Errorf("%q lacks the unit, want a whole number followed by %s", text, suffix)
 	}
 	n, err := strconv.ParseInt(digits, 10, 64)
 	if err != nil {
@@ -107,9 +107,15 @@
 	return value{n: int64(clock.FromStd(d))}, nil
 }
 
+// printDuration uses the largest unit that needs no fraction.
 func printDuration(m clock.Millis) string {
-	if m%clock.Second == 0 {
-		return strconv.FormatInt(int64(m/clock.Second), 10) + "s"
+	for _, u := range []struct {
+		size clock.Millis
+		name string
+	}{{clock.Hour, "h"}, {clock.Minute, "m"}, {clock.Second, "s"}} {
+		if m != 0 && m%u.size == 0 {
+			return strconv.FormatInt(int64(m/u.size), 10) + u.name
+		}
 	}
 	return strconv.FormatInt(int64(m), 10) + "ms"
 }
--- /dev/null
+++ b/core/trace/trace_test.go
@@ -0,0 +1,307 @@
+package trace_test
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+	"vanillabridge/core/trace"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// skewed is a clock that a test sets to any time, also back.
+type skewed struct{ now clock.Millis }
+
+func (s *skewed) Now() clock.Millis { return s.now }
+
+func golden(t *testing.T, file, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", file, diff)
+	}
+}
+
+// sample returns the events of a task and a request over three processes, with names that
+// need quoting in HTML.
+func sample() []trace.Entry {
+	at := &skewed{now: 1_764_800_000_000}
+	recorders := map[string]*trace.Recorder{}
+	for _, name := range []string{"entry-1#1f", "entry-2#2e", "w1"} {
+		recorders[name] = trace.NewRecorder(trace.Options{Process: name, Zone: "east-a", Source: at})
+	}
+	task := trace.Subject{Task: model.TaskID{Job: "report/1", Index: 3}, Worker: "w1"}
+	steps := []struct {
+		process string
+		event   trace.Event
+	}{
+		{"entry-1#1f", trace.LeaderChanged{Group: "zone east-a", Leader: "entry-1", Term: 4}},
+		{"entry-1#1f", trace.Accepted{Subject: trace.Subject{Job: "report/1"}, Caller: "<b>", Class: model.Urgent}},
+		{"entry-1#1f", trace.Placed{Subject: task, Attempt: 1, Epoch: 4}},
+		{"w1", trace.Started{Subject: task, Attempt: 1}},
+		{"entry-2#2e", trace.Refused{Subject: trace.Subject{Request: "r-1"}, Reason: "queue of class low is full"}},
+		{"w1", trace.Ended{Subject: task, Attempt: 1, Outcome: "done"}},
+		{"entry-2#2e", trace.Drained{Left: 0}},
+	}
+	for i, s := range steps {
+		at.now += clock.Millis(i % 2)
+		stamp := recorders[s.process].Record(s.event)
+		for _, r := range recorders {
+			r.Merge(stamp)
+		}
+	}
+	var lists [][]trace.Entry
+	for _, r := range recorders {
+		lists = append(lists, r.Events(trace.Filter{}))
+	}
+	return trace.Merge(lists...)
+}
+
+// Guards against a rendering that loses an event, its order, or lets a name into the HTML.
+func TestRenderingsGolden(t *testing.T) {
+	for file, write := range map[string]func(*bytes.Buffer) error{
+		"testdata/sample.txt":   func(b *bytes.Buffer) error { return trace.WriteText(b, sample()) },
+		"testdata/sample.jsonl": func(b *bytes.Buffer) error { return trace.WriteLines(b, sample()) },
+		"testdata/sample.html":  func(b *bytes.Buffer) error { return trace.WritePicture(b, sample()) },
+	} {
+		var b bytes.Buffer
+		if err := write(&b); err != nil {
+			t.Fatal(err)
+		}
+		golden(t, file, b.String())
+	}
+}
+
+// Guards against a merged order in which an effect stands before its cause, for any
+// interleaving of events and messages and any error of the clocks, steps back included.
+func TestMergeRespectsCausality(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 4).Draw(t, "processes")
+		recorders := make([]*trace.Recorder, n)
+		clocks := make([]*skewed, n)
+		known := make([]map[string]bool, n) // events in the causal past of each process
+		for i := range n {
+			clocks[i] = &skewed{}
+			recorders[i] = trace.NewRecorder(trace.Options{Process: string(rune('a' + i)), Source: clocks[i], Size: 64})
+			known[i] = map[string]bool{}
+		}
+		past := map[string][]string{}
+		type message struct {
+			stamp trace.Stamp
+			known []string
+		}
+		var messages []message
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(t, "process")
+			clocks[i].now = clock.Millis(rapid.Int64Range(-5, 200).Draw(t, "time"))
+			switch action := rapid.IntRange(0, 2).Draw(t, "action"); {
+			case action == 0:
+				name := string(rune('A' + step))
+				past[name] = slices.Sorted(mapKeys(known[i]))
+				known[i][name] = true
+				recorders[i].Record(trace.Accepted{Subject: trace.Subject{Request: name}})
+			case action == 1:
+				messages = append(messages, message{recorders[i].Stamp(), slices.Sorted(mapKeys(known[i]))})
+			case len(messages) > 0:
+				m := rapid.SampledFrom(messages).Draw(t, "message") // late, doubled or out of order
+				recorders[i].Merge(m.stamp)
+				for _, name := range m.known {
+					known[i][name] = true
+				}
+			}
+		}
+		lists := make([][]trace.Entry, n)
+		for i, r := range recorders {
+			lists[i] = r.Events(trace.Filter{})
+		}
+		merged := trace.Merge(append(lists, lists[0])...) // one process twice, as from its file
+		at := map[string]int{}
+		for i, e := range merged {
+			at[e.Event.About().Request] = i
+		}
+		if len(at) != len(past) || len(merged) != len(past) {
+			t.Fatalf("%d events merged, want %d", len(merged), len(past))
+		}
+		for effect, causes := range past {
+			for _, cause := range causes {
+				if at[cause] >= at[effect] {
+					t.Fatalf("%s stands before its cause %s", effect, cause)
+				}
+			}
+		}
+	})
+}
+
+func mapKeys(m map[string]bool) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// Guards against a damaged stamp that carries all clocks to the end of their range, and
+// against a count that wraps round to the past.
+func TestClockRange(t *testing.T) {
+	c := trace.NewClock(&skewed{now: 5})
+	for _, s := range []trace.Stamp{{Time: 1 << 62}, {Time: -1}} {
+		if c.Merge(s) {
+			t.Errorf("stamp %v was merged", s)
+		}
+	}
+	last := trace.Stamp{Time: 9, Count: 1<<32 - 1}
+	c.Merge(last)
+	if next := c.Next(); next.Compare(last) <= 0 {
+		t.Errorf("stamp %v follows %v", next, last)
+	}
+}
+
+type failing struct {
+	bytes.Buffer
+	err error
+}
+
+func (f *failing) Write(p []byte) (int, error) {
+	if f.err != nil {
+		n, _ := f.Buffer.Write(p[:len(p)/2])
+		return n, f.err
+	}
+	return f.Buffer.Write(p)
+}
+
+// Guards against a sink that gets an event twice, hides a loss, or is spoilt for good by one
+// failed write.
+func TestFlush(t *testing.T) {
+	sink := &failing{}
+	r := trace.NewRecorder(trace.Options{Process: "a", Source: &skewed{}, Size: 4, Sink: sink})
+	record := func(n int) {
+		for range n {
+			r.Record(trace.Ready{})
+		}
+	}
+	record(3)
+	if err := r.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	record(6) // 4 and 5 are overwritten before they are flushed
+	if err := errors.Join(r.Flush(), r.Flush()); err != nil {
+		t.Fatal(err)
+	}
+	sink.err = errors.New("disk full")
+	record(1)
+	if err := r.Flush(); !errors.Is(err, sink.err) {
+		t.Errorf("error %v, want disk full", err)
+	}
+	sink.err = nil
+	record(1)
+	if err := r.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	entries, skipped, err := trace.ReadLines(&sink.Buffer)
+	if err != nil || skipped != 1 {
+		t.Errorf("skipped %d lines, error %v; want the one torn line", skipped, err)
+	}
+	var seqs []uint64
+	for _, e := range entries {
+		seqs = append(seqs, e.Seq)
+	}
+	if diff := cmp.Diff([]uint64{1, 2, 3, 6, 7, 8, 9, 11}, seqs); diff != "" || r.Lost() != 3 {
+		t.Errorf("%d events lost, want 3; flushed (-want +got):\n%s", r.Lost(), diff)
+	}
+}
+
+// Guards against a kind of event that the reader does not know or reads as another.
+func TestEveryKindRoundTrips(t *testing.T) {
+	for _, kind := range trace.Kinds() {
+		text := `{"time":1,"count":2,"process":"a","seq":3,"kind":"` + string(kind) + `","event":{"worker":"w","reason":"r"}}`
+		entries, skipped, err := trace.ReadLines(strings.NewReader(text))
+		if err != nil || skipped != 0 || len(entries) != 1 || entries[0].Event.Kind() != kind {
+			t.Fatalf("%s: read %v, skipped %d, error %v", kind, entries, skipped, err)
+		}
+		var b bytes.Buffer
+		if err := trace.WriteLines(&b, entries); err != nil {
+			t.Fatal(err)
+		}
+		back, _, _ := trace.ReadLines(&b)
+		if diff := cmp.Diff(entries, back); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", kind, diff)
+		}
+	}
+}
+
+// Guards against a query that selects other events than the filter it was made of.
+func TestFilterQuery(t *testing.T) {
+	full := trace.Filter{
+		Task: model.TaskID{Job: "a/1", Index: 2}, Job: "a/1", Request: "r", Instance: "i", Zone: "z", Worker: "w", Server: "s",
+		Service: "v", Kinds: []trace.Kind{trace.KindPlaced, trace.KindEnded}, After: trace.Stamp{Time: 5, Count: 1}, Limit: 7,
+	}
+	for _, f := range []trace.Filter{{}, full} {
+		got, err := trace.ParseFilter(f.Query())
+		if diff := cmp.Diff(f, got); err != nil || diff != "" {
+			t.Errorf("error %v (-want +got):\n%s", err, diff)
+		}
+	}
+	for _, q := range []string{"tsk", "task", "kind", "after", "limit"} {
+		if _, err := trace.ParseFilter(map[string][]string{q: {"-1"}}); err == nil {
+			t.Errorf("query %s=-1 was accepted", q)
+		}
+	}
+	for want, f := range map[int]trace.Filter{
+		7: {}, 3: {Job: "report/1", Worker: "w1"}, 4: {Job: "report/1"}, 1: {Request: "r-1"}, 2: {Instance: "entry-2"},
+		0: {Zone: "west-a"}, 5: {Limit: 5},
+	} {
+		if got := f.Apply(sample()); len(got) != want {
+			t.Errorf("filter %+v selects %d events, want %d", f, len(got), want)
+		}
+	}
+}
+
+// Guards against lines of a damaged file or a hostile answer that make the reader panic.
+func FuzzReadLines(f *testing.F) {
+	text, err := os.ReadFile("testdata/sample.jsonl")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(string(text))
+	f.Add("{\"kind\":\"placed\"}\n{\"kind\":\"none\",\"event\":1}\nnull\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		entries, _, err := trace.ReadLines(strings.NewReader(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var b bytes.Buffer
+		if err := errors.Join(trace.WriteText(&b, entries), trace.WritePicture(&b, entries)); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkRecord measures what an event costs the process that records it.
+func BenchmarkRecord(b *testing.B) {
+	r := trace.NewRecorder(trace.Options{Process: "a", Source: clock.NewSystem()})
+	event := trace.Routed{Subject: trace.Subject{Request: "r-1", Server: "s", Service: "web"}, Attempt: 1}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Record(event)
+	}
+}
