Print the settings reference and test the daemon's settings

Cause: docs/settings.md must not differ from what the daemon accepts. Change: config.Reference prints the page from the table; golden tests hold the page and the messages for wrong settings; FuzzParse has the files as seeds. Ruled out: refusing bootstrap without a data folder.

--- a/core/trace/recorder.go
+++ b/core/trace/recorder.go
@@ -20,7 +20,7 @@
 }
 
 // DefaultSize is the number of events that a Recorder keeps if Options state none. They take
-// about 10 MB of the 128 MB that a control process may use.
+// about 8 MB of the 128 MB that a control process may use.
 const DefaultSize = 32_768
 
 // Options configure a Recorder.
--- /dev/null
+++ b/vbridged/config/config_test.go
@@ -0,0 +1,123 @@
+package config_test
+
+import (
+	"errors"
+	"flag"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"vanillabridge/core/fault"
+	"vanillabridge/core/model"
+	"vanillabridge/core/spec"
+	"vanillabridge/vbridged/config"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func golden(t *testing.T, file, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", file, diff)
+	}
+}
+
+// Guards against a reference that differs from what the daemon accepts. Run with -update after
+// a change of the table.
+func TestReferenceIsCurrent(t *testing.T) {
+	var b strings.Builder
+	if err := config.Reference(&b); err != nil {
+		t.Fatal(err)
+	}
+	golden(t, "../../docs/settings.md", b.String())
+}
+
+// Guards against wrong settings that are accepted, and against a message without file, section
+// and key on its one line.
+func TestBadSettingsGolden(t *testing.T) {
+	for _, name := range []string{"bad-keys", "bad-rules", "empty"} {
+		_, err := config.Load("testdata/" + name + ".ini")
+		if !errors.Is(err, fault.ErrInvalid) {
+			t.Fatalf("%s: error %v, want ErrInvalid", name, err)
+		}
+		for line := range strings.Lines(err.Error()) {
+			if !strings.HasPrefix(line, "testdata/"+name+".ini: ") {
+				t.Errorf("%s: line %q does not name the file", name, line)
+			}
+		}
+		golden(t, "testdata/"+name+".golden", err.Error()+"\n")
+	}
+	if _, err := config.Load("testdata/none.ini"); !errors.Is(err, fault.ErrInvalid) {
+		t.Errorf("missing file: error %v, want ErrInvalid", err)
+	}
+}
+
+// Guards against a value that lands in the wrong field, and against a default that is not
+// filled in.
+func TestGoodSettings(t *testing.T) {
+	got, err := config.Load("testdata/good.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort
+	want := config.Settings{
+		Instance: config.Instance{Name: "east-1", Zone: "east-a", Region: "east", Data: "/var/lib/vanillabridge", Bootstrap: true},
+		Listen:   config.Listen{HTTP: address("0.0.0.0:8080"), Peer: address("0.0.0.0:7000")},
+		Peers: []config.Peer{
+			{Name: "east-2", Zone: "east-a", Region: "east", HTTP: address("10.0.1.2:8080"), Peer: address("10.0.1.2:7000")},
+			{Name: "west-1", Zone: "west-a", Region: "west", HTTP: address("10.0.2.1:8080"), Peer: address("10.0.2.1:7000")},
+		},
+		Group: config.Group{
+			Voters: []model.Instance{"east-1", "east-2"}, Witness: "west-1",
+			Cell: []model.Instance{"east-1", "west-1", "east-2"}, Election: 2000, Heartbeat: 150,
+		},
+		Witnesses: []config.Witness{{Zone: "west-a", Voters: []model.Instance{"west-1"}}},
+		Entry:     config.Entry{Time: 10_000, Header: 64 << 10, Body: 16 << 20, Queue: 10_000, Connections: 8},
+		Worker:    config.Worker{Lease: 10_000, Sync: 500},
+		Drain:     config.Drain{Time: 30_000},
+		Log:       config.Log{Level: config.LevelDebug},
+		Trace:     config.Trace{Size: 32_768},
+	}
+	if diff := cmp.Diff(want, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+		t.Errorf("settings (-want +got):\n%s", diff)
+	}
+	places := []spec.Place{{Zone: "east-a", Region: "east"}, {Zone: "west-a", Region: "west"}}
+	if diff := cmp.Diff(places, got.Places()); diff != "" {
+		t.Errorf("places (-want +got):\n%s", diff)
+	}
+	if local := got.Local(); len(local) != 1 || local[0].Name != "east-2" {
+		t.Errorf("instances of the own zone: %v, want east-2", local)
+	}
+}
+
+// Guards against settings text that makes the reader panic.
+func FuzzParse(f *testing.F) {
+	files, _ := filepath.Glob("testdata/*.ini")
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := config.Parse("f", text)
+		if err == nil && (s.Instance.Zone == "" || len(s.Places()) == 0 || s.Entry.Time > spec.MaxDeadline) {
+			t.Errorf("settings beyond their limits: %+v", s)
+		}
+	})
+}
--- a/vbridged/config/table.go
+++ b/vbridged/config/table.go
@@ -111,7 +111,7 @@
 		target: func(s *Settings) any { return &s.Log.File },
 	},
 	{
-		section: "trace", name: "size", fallback: "32768", min: 100, max: 1_000_000, doc: "events of the timeline kept in memory, about 300 bytes each",
+		section: "trace", name: "size", fallback: "32768", min: 100, max: 1_000_000, doc: "events of the timeline kept in memory, about 250 bytes each",
 		target: func(s *Settings) any { return &s.Trace.Size },
 	},
 	{
--- a/vbridged/config/value.go
+++ b/vbridged/config/value.go
@@ -76,7 +76,7 @@
 	}
 	switch k.target(&Settings{}).(type) {
 	case *clock.Millis:
-		return clock.Millis(k.min).String() + " to " + clock.Millis(k.max).String()
+		return printDuration(k.min) + " to " + printDuration(k.max)
 	case *Bytes:
 		return printBytes(k.min) + " to " + printBytes(k.max)
 	default:
@@ -185,4 +185,13 @@
 	return strconv.FormatInt(n/kib, 10) + "KiB"
 }
 
+// printDuration leaves out the zero seconds that the standard library prints after minutes.
+func printDuration(n int64) string {
+	text := clock.Millis(n).String()
+	if head, ok := strings.CutSuffix(text, "m0s"); ok {
+		return head + "m"
+	}
+	return text
+}
+
 func compareText[T ~string](a, b T) int { return cmp.Compare(a, b) }
