vbstand: add the report and the stand-in for operators

'vbstand submit', 'await', 'watch' and 'metrics' record what operators are told and what instances report; 'vbstand report' checks the promises and prints the four measures.

--- /dev/null
+++ b/vbstand/admin/await.go
@@ -0,0 +1,59 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+	"vanillabridge/vbstand/entry"
+	"vanillabridge/vbstand/record"
+)
+
+// Await asks for a job until it has come to its end, or runs in full if it is a service, or
+// ctx ends. The result is final in each case: a job that is not done by then is late.
+func Await(ctx context.Context, list *entry.List, job model.JobID, accepted record.Micros) record.Job {
+	out := record.Job{Job: job, Accepted: accepted, Final: true}
+	for {
+		out.Entry, out.Time = list.Current(), record.Now()
+		var reply proto.JobReply
+		err := try(ctx, list, http.MethodGet, "/v1/jobs/"+url.PathEscape(string(job)), nil, &reply)
+		switch {
+		case err != nil:
+			out.Reason = err.Error()
+			list.Next()
+		default:
+			out.Counts, out.Reason = reply.Counts, reply.Reason
+			describe(&out, reply.Work.Work())
+			if ended(out) {
+				return out
+			}
+		}
+		if !pause(ctx) {
+			return out
+		}
+	}
+}
+
+func describe(out *record.Job, work model.Work) {
+	switch work.(type) {
+	case model.Service:
+		out.Kind = "service"
+	case model.Batch:
+		out.Kind = "batch"
+	case model.Gang:
+		out.Kind = "gang"
+	default:
+		return
+	}
+	out.Class, out.Count = work.Common().Urgency.String(), work.Common().Count
+}
+
+func ended(job record.Job) bool {
+	c := job.Counts
+	if job.Kind == "service" {
+		return c.Running == job.Count
+	}
+	return job.Count > 0 && c.Done+c.Failed+c.Cancelled+c.Impossible == job.Count
+}
--- /dev/null
+++ b/vbstand/admin/watch.go
@@ -0,0 +1,111 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sync"
+	"time"
+
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+	"vanillabridge/vbstand/entry"
+	"vanillabridge/vbstand/record"
+)
+
+// MarkPrefix starts the name of a caller section that marks the document of one submission.
+const MarkPrefix = "mark-"
+
+var marks = regexp.MustCompile(`(?m)^\[caller (` + MarkPrefix + `[a-z0-9-]+)\]`)
+
+// Target is an instance to watch.
+type Target struct {
+	Name    model.Instance
+	Address string
+}
+
+// Watch records once per period, until ctx ends, which configuration each instance reports
+// to be in force.
+func Watch(ctx context.Context, targets []Target, period time.Duration, journal *record.Writer) {
+	var group sync.WaitGroup
+	for _, t := range targets {
+		group.Go(func() { watchOne(ctx, t, period, journal) })
+	}
+	group.Wait()
+}
+
+func watchOne(ctx context.Context, t Target, period time.Duration, journal *record.Writer) {
+	client := &http.Client{Timeout: 2 * time.Second}
+	list, err := entry.NewList(client, []string{t.Address})
+	if err != nil {
+		return
+	}
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		if seen, err := look(ctx, list, t); err == nil {
+			journal.Write(record.Line{Seen: &seen})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// look asks for the status first and the document after it, so that a change between both
+// shows the document of a newer version, which is then left out.
+func look(ctx context.Context, list *entry.List, t Target) (record.Seen, error) {
+	var status proto.StatusReply
+	if err := list.Do(ctx, http.MethodGet, t.Address, "/v1/status", nil, &status); err != nil {
+		return record.Seen{}, err
+	}
+	seen := record.Seen{Instance: t.Name, Time: record.Now(), Ready: status.Ready, Version: status.Config}
+	var config proto.ConfigReply
+	err := list.Do(ctx, http.MethodGet, t.Address, "/v1/config", nil, &config)
+	if err != nil || config.Version != status.Config {
+		return seen, nil
+	}
+	hash := sha256.Sum256([]byte(config.Document))
+	seen.Hash = hex.EncodeToString(hash[:8])
+	for _, m := range marks.FindAllStringSubmatch(config.Document, -1) {
+		seen.Marks = append(seen.Marks, m[1])
+	}
+	return seen, nil
+}
+
+// Metrics saves the metrics of each instance as DIR/metrics-LABEL-NAME.txt.
+func Metrics(ctx context.Context, targets []Target, dir, label string) error {
+	for _, t := range targets {
+		if err := saveMetrics(ctx, t, filepath.Join(dir, fmt.Sprintf("metrics-%s-%s.txt", label, t.Name))); err != nil {
+			return fmt.Errorf("save metrics of %s: %w", t.Name, err)
+		}
+	}
+	return nil
+}
+
+func saveMetrics(ctx context.Context, t Target, file string) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, data, 0o644)
+}
--- a/vbstand/main.go
+++ b/vbstand/main.go
@@ -33,7 +33,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(workerCommand(), backendCommand(), callerCommand(), portsCommand())
+	root.AddCommand(
+		workerCommand(), backendCommand(), callerCommand(), portsCommand(),
+		submitCommand(), awaitCommand(), watchCommand(), metricsCommand(), reportCommand(),
+	)
 	return root
 }
 
--- /dev/null
+++ b/vbstand/report/task.go
@@ -0,0 +1,116 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"vanillabridge/core/model"
+	"vanillabridge/vbstand/record"
+	"vanillabridge/vbstand/stats"
+)
+
+// printTasks prints the waiting times of tasks by kind and class, and the packing.
+func printTasks(w io.Writer, lines []record.Line) error {
+	first := firstStarts(lines)
+	t := table(w)
+	_, _ = fmt.Fprintln(t, "tasks\tclass\tstarted\tof\twait p50\twait p99\twait max\tspread of starts")
+	for _, l := range lines {
+		if l.Job == nil || !l.Job.Final || l.Job.Accepted == 0 {
+			continue
+		}
+		var waits []time.Duration
+		var low, high time.Duration
+		for i := range l.Job.Count {
+			at, ok := first[model.TaskID{Job: l.Job.Job, Index: i}]
+			if !ok {
+				continue
+			}
+			wait := at.Sub(l.Job.Accepted)
+			if len(waits) == 0 || wait < low {
+				low = wait
+			}
+			high = max(high, wait)
+			waits = append(waits, wait)
+		}
+		s := stats.Summarise(waits)
+		_, _ = fmt.Fprintf(t, "%s %s\t%s\t%d\t%d\t%v\t%v\t%v\t%v\n", l.Job.Kind, l.Job.Job, l.Job.Class,
+			s.Count, l.Job.Count, round(s.P50), round(s.P99), round(s.Max), round(high-low))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	share, d := packing(lines, first)
+	_, err := fmt.Fprintf(w, "\npacking: %.0f%% of the scarcest resource in use, over %v in which tasks waited\n", 100*share, round(d))
+	return err
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+func firstStarts(lines []record.Line) map[model.TaskID]record.Micros {
+	first := map[model.TaskID]record.Micros{}
+	for _, l := range lines {
+		if l.Task == nil || l.Task.Step != record.TaskStart {
+			continue
+		}
+		if at, ok := first[l.Task.Task]; !ok || l.Task.Time < at {
+			first[l.Task.Task] = l.Task.Time
+		}
+	}
+	return first
+}
+
+// change is an instant at which the number of waiting tasks or the use of a worker changes.
+type change struct {
+	at    record.Micros
+	wait  int
+	usage *record.Task
+}
+
+// packing returns the mean share of the scarcest resource that is truly in use while tasks
+// wait, and for how long they did.
+func packing(lines []record.Line, first map[model.TaskID]record.Micros) (float64, time.Duration) {
+	var changes []change
+	for _, l := range lines {
+		switch {
+		case l.Task != nil:
+			changes = append(changes, change{at: l.Task.Time, usage: l.Task})
+		case l.Job != nil && l.Job.Final && l.Job.Accepted != 0:
+			for i := range l.Job.Count {
+				if at, ok := first[model.TaskID{Job: l.Job.Job, Index: i}]; ok && at > l.Job.Accepted {
+					changes = append(changes, change{at: l.Job.Accepted, wait: 1}, change{at: at, wait: -1})
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(a.at, b.at) })
+	workers := map[model.WorkerID]*record.Task{}
+	waiting := 0
+	var area float64
+	var total time.Duration
+	for i, c := range changes {
+		waiting += c.wait
+		if c.usage != nil {
+			workers[c.usage.Worker] = c.usage
+		}
+		if i+1 < len(changes) && waiting > 0 {
+			d := changes[i+1].at.Sub(c.at)
+			area += use(workers) * d.Seconds()
+			total += d
+		}
+	}
+	if total == 0 {
+		return 0, 0
+	}
+	return area / total.Seconds(), total
+}
+
+func use(workers map[model.WorkerID]*record.Task) float64 {
+	var used, size model.Size
+	for _, t := range workers {
+		used, size = used.Plus(t.Total), size.Plus(t.Size)
+	}
+	return used.Share(size)
+}
