--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,12 @@
 
 bench:
 	@for m in $(MODULES); do (cd $$m && go test -run '^$$' -bench . -benchmem ./...) || exit 1; done
+
+# Starts a cell on loopback and checks all promises; see demo/run.sh.
+demo: build
+	@cd vbstand && go build -trimpath -o $(BIN)/demo ./demo
+	@BIN=$(BIN) demo/run.sh
+
+# Process-level fault tests: they start, kill, pause and cut off programs on loopback.
+faults: build
+	@cd vbstand && VBSTAND_BIN=$(BIN) go test -count=1 -timeout 300s -parallel 2 ./chaos
--- /dev/null
+++ b/vbstand/admin/admin_test.go
@@ -0,0 +1,83 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+	"vanillabridge/vbstand/admin"
+	"vanillabridge/vbstand/entry"
+)
+
+func list(t *testing.T, handlers ...http.HandlerFunc) *entry.List {
+	t.Helper()
+	var addresses []string
+	for _, h := range handlers {
+		web := httptest.NewServer(h)
+		t.Cleanup(web.Close)
+		addresses = append(addresses, strings.TrimPrefix(web.URL, "http://"))
+	}
+	l, err := entry.NewList(http.DefaultClient, addresses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// Guards against a resend of a configuration under another key, which could be accepted as
+// a second change.
+func TestSubmitResendsWithItsKey(t *testing.T) {
+	var keys []string
+	key := func(r *http.Request) {
+		var req proto.SubmitRequest
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		keys = append(keys, req.Key)
+	}
+	l := list(t, func(_ http.ResponseWriter, r *http.Request) {
+		key(r)
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, r *http.Request) {
+		key(r)
+		_ = json.NewEncoder(w).Encode(proto.SubmitReply{Version: 3})
+	})
+	s := admin.Submit(context.Background(), l, "k", "", "text")
+	if !s.Accepted || s.Version != 3 || len(keys) != 2 || keys[0] != "k" || keys[1] != "k" {
+		t.Errorf("submission %+v with keys %q", s, keys)
+	}
+}
+
+// Guards against a conflict that is repeated, or taken for an acceptance.
+func TestConflictIsFinal(t *testing.T) {
+	calls := 0
+	l := list(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		http.Error(w, "conflict", http.StatusConflict)
+	})
+	if s := admin.Submit(context.Background(), l, "k", "", "text"); s.Accepted || !s.Refused || calls != 1 {
+		t.Errorf("submission %+v after %d requests", s, calls)
+	}
+}
+
+// Guards against a job that counts as ended while tasks run, and against a job identifier
+// whose slash ends the path.
+func TestAwaitWaitsForAllTasks(t *testing.T) {
+	replies := []proto.Counts{{Running: 2}, {Done: 1, Running: 1}, {Done: 2}}
+	work := model.NewBox(model.Batch{Base: model.Base{Name: "j", Count: 2}, Run: "1"})
+	calls := 0
+	l := list(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.EscapedPath() != "/v1/jobs/j%2F1" {
+			t.Errorf("path %s", r.URL.EscapedPath())
+		}
+		_ = json.NewEncoder(w).Encode(proto.JobReply{Job: "j/1", Work: work, Counts: replies[calls]})
+		calls++
+	})
+	job := admin.Await(context.Background(), l, "j/1", 5)
+	if calls != 3 || job.Counts.Done != 2 || job.Kind != "batch" || job.Count != 2 || job.Accepted != 5 {
+		t.Errorf("job %+v after %d requests", job, calls)
+	}
+}
--- /dev/null
+++ b/vbstand/admin/ready.go
@@ -0,0 +1,32 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"vanillabridge/core/proto"
+	"vanillabridge/vbstand/entry"
+)
+
+// Ready waits until all instances report that they are ready.
+func Ready(ctx context.Context, targets []Target) error {
+	for _, t := range targets {
+		list, err := entry.NewList(http.DefaultClient, []string{t.Address})
+		if err != nil {
+			return err
+		}
+		for {
+			var status proto.StatusReply
+			err := try(ctx, list, http.MethodGet, "/v1/status", nil, &status)
+			if err == nil && status.Ready {
+				break
+			}
+			if !pause(ctx) {
+				return fmt.Errorf("instance %s is not ready: %s (%v)", t.Name, strings.Join(status.Reasons, ", "), err)
+			}
+		}
+	}
+	return nil
+}
--- a/vbstand/audit/event.go
+++ b/vbstand/audit/event.go
@@ -21,7 +21,7 @@
 	})
 }
 
-// disturbed returns the newest instant up to t at which any process was killed, started,
+// disturbed returns the newest instant up to t at which any instance was killed, started,
 // paused or cut off. It is t itself during a pause or a cut.
 func (l *journals) disturbed(t record.Micros) record.Micros {
 	last := record.Micros(0)
@@ -30,6 +30,9 @@
 		if e.Time > t {
 			break
 		}
+		if e.Entry == "" {
+			continue
+		}
 		last = e.Time
 		switch e.Event {
 		case record.EventStop, record.EventCut:
--- a/vbstand/main.go
+++ b/vbstand/main.go
@@ -35,7 +35,7 @@
 	}
 	root.AddCommand(
 		workerCommand(), backendCommand(), callerCommand(), portsCommand(),
-		submitCommand(), awaitCommand(), watchCommand(), metricsCommand(), reportCommand(),
+		readyCommand(), submitCommand(), awaitCommand(), watchCommand(), metricsCommand(), reportCommand(),
 	)
 	return root
 }
