Wire the daemon: groups, scheduler, request path, HTTP interface and commands

vbridged serve opens the replicas of the zone group, the cell group and of the zones it is a witness of, adopts configurations of the cell into the zone's log, serves the HTTP interface and stops gracefully. core/quorum tells the end of the leader's lease, which workers' answers and permits depend on.

--- a/core/model/work.go
+++ b/core/model/work.go
@@ -71,6 +71,18 @@
 	return g
 }
 
+// WithRun returns a copy of a batch or gang under another run label; a service has none.
+func WithRun(w Work, run string) Work {
+	switch w := w.(type) {
+	case Batch:
+		return w.WithRun(run)
+	case Gang:
+		return w.WithRun(run)
+	default:
+		return w
+	}
+}
+
 // Box carries a Work through encodings that have no sum types; exactly one field is set.
 type Box struct {
 	Service *Service `json:"service,omitempty" cbor:"1,keyasint,omitempty"`
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -218,6 +218,8 @@
 	First   uint64
 	Last    uint64
 	Members Membership
+	// Lease is the instant until which no other replica can become leader; 0 without a lease.
+	Lease clock.Millis
 }
 
 // State returns the observable state.
@@ -231,6 +233,7 @@
 		First:   n.log.base + 1,
 		Last:    n.log.last(),
 		Members: n.members(),
+		Lease:   n.leaseEnd(),
 	}
 }
 
--- a/core/quorum/read.go
+++ b/core/quorum/read.go
@@ -51,10 +51,15 @@
 }
 
 // leased reports whether no other replica can have become leader by now.
-func (n *Node) leased() bool {
+func (n *Node) leased() bool { return n.now < n.leaseEnd() }
+
+// leaseEnd returns the instant until which no other replica can become leader.
+func (n *Node) leaseEnd() clock.Millis {
+	if n.role != leader || n.lead.noLease {
+		return 0
+	}
 	// The leader's clock may run slow and the voters' clocks fast.
-	safe := n.cfg.Timing.Election * (100 - driftPercent) / (100 + driftPercent)
-	return !n.lead.noLease && n.now-n.majoritySent(never) < safe
+	return n.majoritySent(never) + n.cfg.Timing.Election*(100-driftPercent)/(100+driftPercent)
 }
 
 // flushReads answers reads that the lease or a later exchange with a majority confirms.
--- a/vbridged/group/status.go
+++ b/vbridged/group/status.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
 	"vanillabridge/core/quorum"
 	"vanillabridge/core/store"
@@ -62,6 +63,17 @@
 	return string(g.state.Known.Name), g.state.Term, g.state.Leader && g.err == nil
 }
 
+// Lease returns the instant on the group's clock until which no other replica can become
+// leader, or 0 if this replica has no such lease. The term is the one of the lease.
+func (g *Group) Lease() (until clock.Millis, term uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.err != nil {
+		return 0, g.state.Term
+	}
+	return g.state.Lease, g.state.Term
+}
+
 func (g *Group) countSend(m quorum.Message) {
 	size := uint64(m.Size())
 	g.mu.Lock()
--- /dev/null
+++ b/vbridged/log.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"flag"
+	"io"
+	"log/slog"
+	"os"
+	"strconv"
+
+	"k8s.io/klog/v2"
+
+	"vanillabridge/vbridged/config"
+)
+
+// debugVerbosity is the klog verbosity of the level debug.
+const debugVerbosity = 2
+
+// openLog directs klog to JSON lines on standard error or in a file.
+func openLog(c config.Log) (io.Closer, error) {
+	out := io.WriteCloser(nopCloser{os.Stderr})
+	if c.File != "" {
+		file, err := openAppend("[log] file", c.File)
+		if err != nil {
+			return nil, err
+		}
+		out = file
+	}
+	handler := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: slogLevel(c.Level)})
+	klog.SetSlogLogger(slog.New(handler))
+	if c.Level == config.LevelDebug {
+		flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+		klog.InitFlags(flags)
+		if err := flags.Set("v", strconv.Itoa(debugVerbosity)); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func slogLevel(l config.Level) slog.Level {
+	switch l {
+	case config.LevelDebug:
+		return slog.Level(-debugVerbosity)
+	case config.LevelWarn:
+		return slog.LevelWarn
+	case config.LevelError:
+		return slog.LevelError
+	default:
+		return slog.LevelInfo
+	}
+}
+
+// nopCloser keeps standard error open.
+type nopCloser struct{ io.Writer }
+
+// Close does nothing.
+func (nopCloser) Close() error { return nil }
+
+// warnPlain warns about a listener that others can reach without TLS.
+func warnPlain(s config.Settings) {
+	if s.TLS.Certificate != "" {
+		return
+	}
+	if !s.Listen.HTTP.Addr().IsLoopback() || !s.Listen.Peer.Addr().IsLoopback() {
+		klog.InfoS("warning: listening beyond loopback without TLS", "http", s.Listen.HTTP.String(), "peer", s.Listen.Peer.String())
+	}
+}
--- a/vbridged/sched/lead.go
+++ b/vbridged/sched/lead.go
@@ -165,6 +165,9 @@
 	return fmt.Sprintf("job refused: %s, retry in %s", r.Reason, r.Retry)
 }
 
+// RetryAfter returns when to try again, as a duration from now.
+func (r Refusal) RetryAfter() clock.Millis { return r.Retry }
+
 // Unwrap returns the sentinel.
 func (Refusal) Unwrap() error { return fault.ErrOverloaded }
 
--- a/vbridged/sched/metrics.go
+++ b/vbridged/sched/metrics.go
@@ -85,6 +85,7 @@
 		used = used.Plus(w.used)
 		size = size.Plus(w.size)
 	}
+	l.runner.workers.Store(int64(len(l.workers)))
 	l.options.Metrics.Workers.Set(float64(len(l.workers)))
 	setSize(l.options.Metrics.Used, used)
 	setSize(l.options.Metrics.Capacity, size)
--- a/vbridged/sched/sched.go
+++ b/vbridged/sched/sched.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -19,6 +20,8 @@
 	options Options
 	wake    chan struct{}
 
+	workers atomic.Int64 // that report to this leader
+
 	mu    sync.Mutex
 	queue []input
 }
@@ -105,6 +108,9 @@
 	}
 }
 
+// Workers returns the number of workers that report to this instance as their leader.
+func (s *Scheduler) Workers() int { return int(s.workers.Load()) }
+
 // Run serves until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery.Std())
@@ -232,6 +238,7 @@
 	}
 	r.lead.close()
 	r.lead = nil
+	r.workers.Store(0)
 }
 
 // restart reads the state anew after a proposal whose outcome is not known.
--- /dev/null
+++ b/vbridged/server/groups.go
@@ -0,0 +1,214 @@
+package server
+
+import (
+	"context"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"vanillabridge/core/model"
+	"vanillabridge/core/quorum"
+	"vanillabridge/core/trace"
+	"vanillabridge/vbridged/config"
+	"vanillabridge/vbridged/group"
+	"vanillabridge/vbridged/sched"
+	"vanillabridge/vbridged/zone"
+)
+
+// cellName names the group of all zones.
+const cellName = "cell"
+
+// zoneName names the group of a zone.
+func zoneName(z model.Zone) string { return "zone-" + string(z) }
+
+// openGroups opens the replicas that this instance keeps: of its own zone, of the cell, and
+// of the zones that it is a witness of.
+func (s *Server) openGroups() error {
+	own := s.settings.Instance
+	peers := []quorum.Peer{{Name: own.Name, Zone: own.Zone}}
+	for _, p := range s.settings.Local() {
+		peers = append(peers, quorum.Peer{Name: p.Name, Zone: p.Zone})
+	}
+	voters := s.settings.Group.Voters
+	if w := s.settings.Group.Witness; w != "" {
+		peers = append(peers, quorum.Peer{Name: w, Zone: s.zoneOf(w), Witness: true})
+		voters = append(slices.Clone(voters), w)
+	}
+	s.sched = sched.New(s.schedOptions())
+	g, err := s.openGroup(zoneName(own.Zone), peers, voters, s.zone, s.timing(), s.zoneRole)
+	if err != nil {
+		return err
+	}
+	s.zoneGroup = g
+	s.zoneLog = zone.NewLog(g)
+	if err := s.openCell(); err != nil {
+		return err
+	}
+	for _, w := range s.settings.Witnesses {
+		if err := s.openWitness(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// openCell opens the cell group. All instances may serve in it, so that a lost voter is
+// replaced wherever one is left.
+func (s *Server) openCell() error {
+	own := s.settings.Instance
+	peers := []quorum.Peer{{Name: own.Name, Zone: own.Zone}}
+	for _, p := range s.settings.Peers {
+		peers = append(peers, quorum.Peer{Name: p.Name, Zone: p.Zone})
+	}
+	g, err := s.openGroup(cellName, peers, s.settings.Group.Cell, s.cell, quorum.WideTiming(), s.roleEvent(cellName))
+	if err != nil {
+		return err
+	}
+	s.cellGroup = g
+	return nil
+}
+
+func (s *Server) openWitness(w config.Witness) error {
+	name := zoneName(w.Zone)
+	peers := []quorum.Peer{{Name: s.settings.Instance.Name, Zone: s.settings.Instance.Zone, Witness: true}}
+	for _, p := range s.settings.Peers {
+		if p.Zone == w.Zone {
+			peers = append(peers, quorum.Peer{Name: p.Name, Zone: p.Zone})
+		}
+	}
+	voters := append(slices.Clone(w.Voters), s.settings.Instance.Name)
+	g, err := s.openGroup(name, peers, voters, zone.NewReplica(), s.timing(), s.roleEvent(name))
+	if err != nil {
+		return err
+	}
+	s.witnesses[name] = g
+	return nil
+}
+
+func (s *Server) openGroup(name string, peers []quorum.Peer, voters []model.Instance, m group.Machine, t quorum.Timing, role func(group.Role)) (*group.Group, error) {
+	folder := ""
+	if s.settings.Instance.Data != "" {
+		folder = filepath.Join(s.settings.Instance.Data, name)
+	}
+	return group.Open(group.Config{
+		Group:     name,
+		Self:      s.settings.Instance.Name,
+		Peers:     peers,
+		Voters:    voters,
+		Bootstrap: s.settings.Instance.Bootstrap,
+		Folder:    folder,
+		Machine:   m,
+		Transport: transport{s.net},
+		Forwarder: forwarder{s.net},
+		OnRole:    role,
+		Clock:     s.clock,
+		Timing:    t,
+	})
+}
+
+func (s *Server) timing() quorum.Timing {
+	t := quorum.DefaultTiming()
+	t.Election = s.settings.Group.Election
+	t.Heartbeat = s.settings.Group.Heartbeat
+	return t
+}
+
+func (s *Server) zoneOf(name model.Instance) model.Zone {
+	for _, p := range s.settings.Peers {
+		if p.Name == name {
+			return p.Zone
+		}
+	}
+	return s.settings.Instance.Zone
+}
+
+// groups returns all open groups.
+func (s *Server) groups() []*group.Group {
+	list := []*group.Group{}
+	for _, g := range []*group.Group{s.zoneGroup, s.cellGroup} {
+		if g != nil {
+			list = append(list, g)
+		}
+	}
+	for _, g := range s.witnesses {
+		list = append(list, g)
+	}
+	return list
+}
+
+func (s *Server) findGroup(name string) (*group.Group, bool) {
+	switch name {
+	case zoneName(s.settings.Instance.Zone):
+		return s.zoneGroup, s.zoneGroup != nil
+	case cellName:
+		return s.cellGroup, s.cellGroup != nil
+	default:
+		g, ok := s.witnesses[name]
+		return g, ok
+	}
+}
+
+func (s *Server) closeGroups() {
+	for _, g := range s.groups() {
+		if err := g.Close(); err != nil {
+			klog.ErrorS(err, "close a group failed")
+		}
+	}
+}
+
+func (s *Server) zoneRole(r group.Role) {
+	s.roleEvent(zoneName(s.settings.Instance.Zone))(r)
+	s.sched.Lead(model.Epoch(r.Term), r.Mine)
+	if !r.Mine {
+		s.entry.Unlead()
+	}
+}
+
+func (s *Server) roleEvent(name string) func(group.Role) {
+	return func(r group.Role) {
+		s.recorder.Record(trace.LeaderChanged{Subject: s.about(), Group: name, Leader: string(r.Leader), Term: r.Term})
+	}
+}
+
+// Leading returns the term of the zone's group and whether this instance leads it under a
+// lease that has not ended.
+func (s *Server) Leading() (model.Epoch, bool) {
+	until, term := s.zoneGroup.Lease()
+	return model.Epoch(term), s.clock.Now() < until
+}
+
+// leadLoop keeps the granter of permits informed of the leader's lease.
+func (s *Server) leadLoop(ctx context.Context) {
+	ticker := time.NewTicker(leadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if until, term := s.zoneGroup.Lease(); s.clock.Now() < until {
+			s.entry.Lead(model.Epoch(term), until)
+		}
+	}
+}
+
+const leadEvery = 50 * time.Millisecond
+
+// schedOptions leaves the log open until the group exists; the scheduler runs only later.
+func (s *Server) schedOptions() sched.Options {
+	return sched.Options{
+		Zone:       s.settings.Instance.Zone,
+		Lease:      s.settings.Worker.Lease,
+		Address:    s.settings.Listen.HTTP.String(),
+		Seed:       uint64(s.life),
+		Log:        logPort{s},
+		State:      s.zone,
+		Leadership: s,
+		Events:     s.recorder,
+		Clock:      s.clock,
+		Metrics:    sched.NewMetrics(s.registry),
+	}
+}
--- /dev/null
+++ b/vbridged/server/peers.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"vanillabridge/core/fault"
+	"vanillabridge/core/model"
+	"vanillabridge/vbridged/peer"
+)
+
+// callTimeout bounds a call between instances. It is longer than the times that callers of a
+// method set themselves, and only ends what they have given up.
+const callTimeout = 10 * time.Second
+
+func (s *Server) openNet() error {
+	own := s.settings.Instance
+	self := peer.Address{
+		Instance: own.Name, Zone: own.Zone, Region: own.Region,
+		Peer: s.settings.Listen.Peer.String(), HTTP: s.settings.Listen.HTTP.String(),
+	}
+	others := make([]peer.Address, 0, len(s.settings.Peers))
+	for _, p := range s.settings.Peers {
+		others = append(others, peer.Address{
+			Instance: p.Name, Zone: p.Zone, Region: p.Region,
+			Peer: p.Peer.String(), HTTP: p.HTTP.String(),
+		})
+	}
+	s.net = peer.New(self, others, nil)
+	return nil
+}
+
+// instancesOf returns the other instances of a zone; in the own zone the leader comes first.
+func (s *Server) instancesOf(zone model.Zone) []model.Instance {
+	var list []model.Instance
+	leader := model.Instance("")
+	if zone == s.settings.Instance.Zone {
+		name, _, _ := s.zoneGroup.Leader()
+		leader = model.Instance(name)
+	}
+	for _, p := range s.settings.Peers {
+		switch {
+		case p.Zone != zone:
+		case p.Name == leader:
+			list = append([]model.Instance{p.Name}, list...)
+		default:
+			list = append(list, p.Name)
+		}
+	}
+	return list
+}
+
+// callZone calls a method at one instance of a zone after the other, until one answers. It
+// goes on only after errors that say that nothing was done.
+func (s *Server) callZone(ctx context.Context, zone model.Zone, method string, params, result any) error {
+	err := fault.Wrap(fault.ErrUnavailable, "no instance of zone %q in the settings", zone)
+	for _, to := range s.instancesOf(zone) {
+		err = s.net.Call(ctx, to, method, params, result)
+		if !errors.Is(err, fault.ErrUnavailable) && !errors.Is(err, fault.ErrNotLeader) {
+			return err
+		}
+	}
+	return err
+}
+
+// callLeader calls a method at the leader of the own zone's group, if that is another instance.
+func (s *Server) callLeader(ctx context.Context, method string, params, result any) error {
+	name, _, mine := s.zoneGroup.Leader()
+	if mine || name == "" || model.Instance(name) == s.settings.Instance.Name {
+		return fault.Wrap(fault.ErrUnavailable, "zone %q has no leader that can be called", s.settings.Instance.Zone)
+	}
+	return s.net.Call(ctx, model.Instance(name), method, params, result)
+}
