state: name the zone in the identifier of a service's tasks

make demo reported the promise single as broken: web/service#0 ran in three zones at once, because each zone numbered its tasks of a service from 0 under the same job identifier. The identifier is now name/zone.

--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -216,11 +216,11 @@
 	job.end(t, next, at)
 }
 
-// RunLabel is the run label under which the tasks of a service are recorded in each zone.
-const RunLabel = "service"
-
-// ServiceJob returns the identifier under which a service's tasks are recorded in each zone.
-func ServiceJob(name string) model.JobID { return model.NewJobID(name, RunLabel) }
+// ServiceJob returns the identifier under which a zone records its tasks of a service. It
+// names the zone, so that no two zones have a task of the same name.
+func ServiceJob(name string, zone model.Zone) model.JobID {
+	return model.NewJobID(name, string(zone))
+}
 
 // Count returns the number of tasks that the job wants.
 func (j *Job) Count() int {
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -145,7 +145,7 @@
 fi
 
 log "running a service, a batch and a gang"
-start jobs "$bin/vbstand" await web/service report/a train/a --entries "$all" --accepted "$accepted" \
+start jobs "$bin/vbstand" await web/east-a web/west-a web/north-a report/a train/a --entries "$all" --accepted "$accepted" \
   --limit 25s --journal "$dir/operator.jsonl"
 
 # call starts a caller in the background.
--- a/vbridged/sched/config.go
+++ b/vbridged/sched/config.go
@@ -63,7 +63,7 @@
 
 func (l *lead) wantService(now clock.Millis, s model.Service) {
 	count := Share(s.Count, s.Zones, l.options.Zone)
-	id := state.ServiceJob(s.Name)
+	id := state.ServiceJob(s.Name, l.options.Zone)
 	if count == 0 {
 		return // dropServices ends what an earlier configuration started
 	}
@@ -104,7 +104,7 @@
 	wanted := map[model.JobID]bool{}
 	for _, w := range cell.Work() {
 		if s, ok := w.(model.Service); ok && Share(s.Count, s.Zones, l.options.Zone) > 0 {
-			wanted[state.ServiceJob(s.Name)] = true
+			wanted[state.ServiceJob(s.Name, l.options.Zone)] = true
 		}
 	}
 	l.options.State.View(func(z *state.Zone) {
--- a/vbridged/server/jobs.go
+++ b/vbridged/server/jobs.go
@@ -21,7 +21,7 @@
 	if r.Run == "" {
 		r.Run = string(s.settings.Instance.Zone) + ":" + strings.ToLower(rand.Text())
 	}
-	if len(r.Run) > maxRun || strings.ContainsAny(r.Run, "/# \t\r\n") || r.Run == state.RunLabel {
+	if len(r.Run) > maxRun || strings.ContainsAny(r.Run, "/# \t\r\n") {
 		return proto.JobReply{}, fault.Wrap(fault.ErrInvalid, "run: %q is not a label of at most %d bytes without space, / and #", r.Run, maxRun)
 	}
 	w, err := s.findRun(r.Name)
