peer: add mutual TLS between instances

Certificates are checked against the cell's authority and the dialled IP number. The HTTP listener stays plain.

--- a/vbridged/peer/link.go
+++ b/vbridged/peer/link.go
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	if l.net.tls != nil {
-		raw = tls.Client(raw, l.net.tls.Client())
+		raw = tls.Client(raw, withName(l.net.tls.Client(), l.to.Peer))
 	}
 	crosses := l.net.crosses(l.to.Region)
 	count := func(sent, received int) { l.net.bytes.wire(crosses, sent, received) }
@@ -89,6 +89,17 @@
 	return c, nil
 }
 
+// withName makes the certificate of the peer prove its address.
+func withName(c *tls.Config, address string) *tls.Config {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	named := c.Clone()
+	named.ServerName = host
+	return named
+}
+
 // serve sends queued notifications and pings until the connection fails.
 func (l *link) serve(c *jsonrpc2.Conn) {
 	failed := make(chan struct{})
--- a/vbridged/server/peers.go
+++ b/vbridged/server/peers.go
@@ -27,10 +27,23 @@
 			Peer: p.Peer.String(), HTTP: p.HTTP.String(),
 		})
 	}
-	s.net = peer.New(self, others, nil)
+	config, err := s.tlsConfig()
+	if err != nil {
+		return err
+	}
+	s.net = peer.New(self, others, config)
 	return nil
 }
 
+// tlsConfig returns nil if the settings name no certificate.
+func (s *Server) tlsConfig() (peer.TLS, error) {
+	c := s.settings.TLS
+	if c.Certificate == "" {
+		return nil, nil
+	}
+	return peer.NewFileTLS(peer.Files{Certificate: c.Certificate, Key: c.Key, Authority: c.Authority})
+}
+
 // instancesOf returns the other instances of a zone; in the own zone the leader comes first.
 func (s *Server) instancesOf(zone model.Zone) []model.Instance {
 	var list []model.Instance
