place: keep headroom for classes below their floor

Cause: a flood filled every gap at once, so that large tasks of other classes waited for gaps to appear, and urgent work made one claim per shape at a time.

Change: a class above its floor leaves free what classes below theirs wait for or started in the last seconds (3 s ahead); up to 4 claims per shape and step; one reservation per 16 workers and class instead of one; urgent work preempts only while it holds less than 40% of the capacity; 92% of a worker is usable (88% before), because charges carry their own margin.

--- a/core/place/fleet_test.go
+++ b/core/place/fleet_test.go
@@ -1,7 +1,9 @@
 package place_test
 
 import (
+	"cmp"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -28,7 +30,7 @@
 type fleet struct {
 	now     clock.Millis
 	policy  policy
-	rng     *rand.Rand
+	seed    uint64
 	workers []*fakeWorker
 	byID    map[model.WorkerID]*fakeWorker
 	jobs    map[model.JobID]*fakeJob
@@ -87,6 +89,7 @@
 
 type stats struct {
 	waits     [3][]float64 // ms from accepted to first start
+	turns     []float64    // ms from accepted to done
 	goodput   [3]float64   // processor time in core-ms of ended tasks, as declared work
 	done      [3]int
 	refused   [3]int
@@ -101,7 +104,7 @@
 
 func newFleet(p policy, seed uint64, n int, size model.Size) *fleet {
 	f := &fleet{
-		now: 1_000_000, policy: p, rng: rand.New(rand.NewPCG(seed, 7)), noise: 0.05,
+		now: 1_000_000, policy: p, seed: seed, noise: 0.05,
 		byID: make(map[model.WorkerID]*fakeWorker), jobs: make(map[model.JobID]*fakeJob), kinds: make(map[string]truth),
 	}
 	for i := range n {
@@ -117,8 +120,16 @@
 	return f
 }
 
+// random returns a source that depends on the seed and the name only, so that further jobs change
+// nothing for the others.
+func (f *fleet) random(name string) *rand.Rand {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return rand.New(rand.NewPCG(f.seed, h.Sum64()))
+}
+
 // factor is log-uniform between a quarter and four.
-func (f *fleet) factor() float64 { return math.Exp2(4*f.rng.Float64() - 2) }
+func factor(rng *rand.Rand) float64 { return math.Exp2(4*rng.Float64() - 2) }
 
 func scale(s model.Size, x float64) model.Size {
 	return model.Size{
@@ -142,7 +153,8 @@
 func (f *fleet) truth(name string) truth {
 	tr, ok := f.kinds[name]
 	if !ok {
-		tr = truth{use: f.factor(), time: f.factor()}
+		rng := f.random(name)
+		tr = truth{use: factor(rng), time: factor(rng)}
 		f.kinds[name] = tr
 	}
 	return tr
@@ -160,11 +172,11 @@
 	}
 	_, j.time = timeOf(work)
 	tr := f.truth(base.Name)
-	list := make([]place.Task, base.Count)
+	list, rng := make([]place.Task, base.Count), f.random(string(id))
 	for i := range list {
-		x := math.Min(tr.use*(1+f.noise*(2*f.rng.Float64()-1)), 4)
+		x := math.Min(tr.use*(1+f.noise*(2*rng.Float64()-1)), 4)
 		t := &fakeTask{job: j, index: i, accepted: f.now, first: -1, use: scale(base.Size, x)}
-		t.need = math.Max(float64(j.time)*tr.time*(0.9+0.2*f.rng.Float64()), 1)
+		t.need = math.Max(float64(j.time)*tr.time*(0.9+0.2*rng.Float64()), 1)
 		j.tasks = append(j.tasks, t)
 		list[i] = place.Task{Index: i, Accepted: f.now}
 	}
@@ -257,6 +269,10 @@
 	if !w.load.Fits(w.size) {
 		f.stats.overloads++
 	}
+	// Memory has no slow path: the operating system kills the task that uses most of it.
+	if w.load.Memory > w.size.Memory {
+		slices.MaxFunc(w.tasks, func(a, b *fakeTask) int { return cmp.Compare(a.resident(), b.resident()) }).finish(f.now, proto.EndStopped)
+	}
 	speed := math.Min(1, float64(w.size.CPU)/math.Max(float64(w.load.CPU), 1))
 	for _, t := range w.tasks {
 		if !t.runs {
@@ -274,15 +290,6 @@
 			t.finish(f.now, proto.EndDone)
 		}
 	}
-	// Memory has no slow path: the worker kills a task when it runs out.
-	if w.load.Memory > w.size.Memory {
-		for _, t := range w.tasks {
-			if t.runs {
-				t.finish(f.now, proto.EndStopped)
-				break
-			}
-		}
-	}
 }
 
 func (f *fleet) begin(w *fakeWorker, t *fakeTask) {
@@ -311,6 +318,13 @@
 	return use
 }
 
+func (t *fakeTask) resident() model.Mebibytes {
+	if !t.runs {
+		return 0
+	}
+	return t.use.Memory
+}
+
 func (t *fakeTask) save() {
 	if b, ok := t.job.work.(model.Batch); ok && b.Checkpoint {
 		t.saved = int(100 * t.progress / t.need)
@@ -366,6 +380,7 @@
 	end := *t.end
 	if end.End == proto.EndDone {
 		f.stats.done[u]++
+		f.stats.turns = append(f.stats.turns, float64(f.now-t.accepted))
 		f.stats.goodput[u] += t.need * float64(t.use.CPU) / 1000
 		t.over = true
 	} else {
--- a/core/place/mix_test.go
+++ b/core/place/mix_test.go
@@ -16,7 +16,8 @@
 	f     *fleet
 	rng   *rand.Rand
 	rate  [3]float64 // jobs per step by class
-	next  int
+	count int        // jobs of the mix
+	next  int        // jobs of floods
 	kinds int
 	flood [3]int // further jobs per second by class
 }
@@ -54,11 +55,12 @@
 func (m *mix) arrive() {
 	for _, u := range model.Urgencies() {
 		for n := m.poisson(m.rate[u]); n > 0; n-- {
-			m.submit(u, 1+m.rng.IntN(20), false)
+			m.submit(u, 1+m.rng.IntN(20))
 		}
 		if m.f.now%clock.Second == 0 {
 			for range m.flood[u] {
-				m.submit(u, 50, true)
+				m.next++
+				m.f.submit(model.JobID(fmt.Sprintf("%sflood/%d", u, m.next)), m.work(u, m.next%m.kinds, 50, true))
 			}
 		}
 	}
@@ -72,10 +74,10 @@
 	return n
 }
 
-func (m *mix) submit(u model.Urgency, count int, flood bool) {
-	m.next++
-	w := m.work(u, m.rng.IntN(m.kinds), count, flood)
-	m.f.submit(model.JobID(fmt.Sprintf("%s/%d", w.Common().Name, m.next)), w)
+func (m *mix) submit(u model.Urgency, count int) {
+	m.count++
+	w := m.work(u, m.rng.IntN(m.kinds), count, false)
+	m.f.submit(model.JobID(fmt.Sprintf("%s/%d", w.Common().Name, m.count)), w)
 }
 
 // scarce is the processor that a size takes, counting memory at its ratio on the workers.
--- a/core/place/params.go
+++ b/core/place/params.go
@@ -9,7 +9,7 @@
 const (
 	// usablePercent is the part of a worker's processor and memory that charges may fill. Measured
 	// use above throttlePercent slows tasks down, so charges stay below it.
-	usablePercent = 88
+	usablePercent = 92
 	// priorFactor scales the declared size of a task without evidence, because declared sizes are
 	// off by up to 4.
 	priorFactor = 4
@@ -74,7 +74,16 @@
 	preemptEvery = clock.Minute
 	// claimTime is the expected time until preempted tasks have stopped.
 	claimTime = 2 * clock.Second
-	claims    = 64 // reservations that wait for preempted tasks
+	// preemptUntil is the share of the capacity, in percent, up to which urgent work preempts. It is
+	// below the floor: so much urgent work ends by itself that the next need not stop other tasks.
+	preemptUntil = 40
+	claims       = 64 // reservations, most of which wait for preempted tasks
+	// claimsAtOnce and claimsDepth bound the tasks of one shape that are helped in one step, and
+	// those that are looked at.
+	claimsAtOnce = 4
+	claimsDepth  = 32
+	// reserveWorkers is the number of workers per reservation for blocked tasks of one class.
+	reserveWorkers = 16
 	// provedAfter is the run time after which a task without end counts as a success.
 	provedAfter = 10 * clock.Second
 )
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -40,9 +40,12 @@
 		return blockedLearning, false
 	}
 	need := j.kind.need(j.base.Size)
+	if !s.leavesHeadroom(j, need) {
+		return blockedRoom, false
+	}
 	w, n := s.choose(now, t, need)
 	if w == nil {
-		s.preempt(now, t, need)
+		s.preempt(now, j.shape, need)
 		return blockedRoom, false
 	}
 	s.assign(t, w, n)
@@ -169,6 +172,7 @@
 	t.phase, t.command, t.started, t.reports, t.charge = assigned, commandRun, 0, 0, charge
 	t.peak, t.proved = model.Size{}, false
 	s.attach(t, w)
+	t.job.shape.share.class.begun += s.portion(charge)
 	if w.health.suspended {
 		w.health.probe = t
 		s.enlist(w)
@@ -289,8 +293,9 @@
 	if !sh.share.team.withinQuota(sh.key.size, 1) {
 		return false
 	}
-	n, ok := s.room(now, w, t, sh.kind.need(sh.key.size))
-	if !ok {
+	need := sh.kind.need(sh.key.size)
+	n, ok := s.room(now, w, t, need)
+	if !ok || !s.leavesHeadroom(t.job, need) {
 		return false
 	}
 	s.assign(t, w, n)
--- a/core/place/preempt.go
+++ b/core/place/preempt.go
@@ -7,12 +7,28 @@
 	"vanillabridge/core/model"
 )
 
-// preempt stops tasks of lower classes to make room for a blocked urgent task, on the worker where
-// that costs least of a bounded number, and reserves the room for it.
-func (s *Scheduler) preempt(now clock.Millis, t *task, need model.Size) {
-	if t.job.base.Urgency != model.Urgent || s.reserved[t] != nil || len(s.reservations) >= claims {
+// preempt makes room for the first tasks of a blocked urgent shape. It does not wait for one to
+// start before it helps the next, because a stop takes two syncs.
+func (s *Scheduler) preempt(now clock.Millis, sh *shape, need model.Size) {
+	if sh.key.class != model.Urgent || s.portion(sh.share.class.held)*100 > preemptUntil {
 		return
 	}
+	left := claimsAtOnce
+	for i := 0; i < len(sh.queue.items) && i < claimsDepth; i++ {
+		t := sh.queue.items[i]
+		if !t.queued() || s.reserved[t] != nil {
+			continue
+		}
+		if left == 0 || len(s.reservations) >= claims || !s.preemptOne(now, t, need) {
+			return
+		}
+		left--
+	}
+}
+
+// preemptOne stops tasks of lower classes to make room for an urgent task, on the worker where that
+// costs least of a bounded number, and reserves the room for it.
+func (s *Scheduler) preemptOne(now clock.Millis, t *task, need model.Size) bool {
 	var best []*task
 	var at *worker
 	var score clock.Millis
@@ -35,9 +51,10 @@
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
 	s.claim(now, t, at, clamp(need, at), best)
+	return true
 }
 
 func (s *Scheduler) claim(now clock.Millis, t *task, w *worker, need model.Size, victims []*task) {
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -75,6 +75,9 @@
 	teams   []*teamClass
 	held    model.Size // charged
 	waiting int
+	begun   float64 // share of the capacity started since the last tick
+	rate    float64 // share of the capacity started in a second, smoothed
+	demand  float64 // share of the capacity that its waiting tasks need
 }
 
 type team struct {
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -59,24 +59,26 @@
 	return n.Fits(kept)
 }
 
-// reserve renews reservations and makes one for the oldest blocked gang and for the oldest blocked
-// task of each class.
+// reserve renews reservations and makes new ones for the oldest blocked gang and for the oldest
+// blocked tasks of each class.
 func (s *Scheduler) reserve(now clock.Millis) {
 	for _, r := range slices.Clone(s.reservations) {
 		if s.reserved[r.unit] == r {
 			s.renew(now, r)
 		}
 	}
-	var oldest [4]*task // by class, and the oldest gang
+	var blocked [4][]*task // by class, and the gangs
 	for i := range s.classes {
 		for _, p := range s.classes[i].teams {
 			for _, sh := range p.blocked {
-				s.older(now, sh, &oldest)
+				s.addBlocked(now, sh, &blocked)
 			}
 		}
 	}
-	for i, t := range oldest {
-		if t != nil && !s.hasReservation(i) {
+	for slot, list := range blocked {
+		slices.SortFunc(list, compareAge)
+		room := s.reservationsOf(slot)
+		for _, t := range list[:min(len(list), room)] {
 			s.plan(now, t, false)
 		}
 	}
@@ -84,31 +86,36 @@
 
 const gangSlot = 3
 
-func (s *Scheduler) older(now clock.Millis, sh *shape, oldest *[4]*task) {
+func slotOf(j *job) int {
+	if j.gang {
+		return gangSlot
+	}
+	return int(j.shape.key.class)
+}
+
+func (s *Scheduler) addBlocked(now clock.Millis, sh *shape, blocked *[4][]*task) {
 	t := sh.head()
 	if t == nil || sh.why != blockedRoom || sh.reason != "" || s.reserved[t] != nil {
 		return
 	}
-	slot := int(sh.key.class)
-	if t.job.gang {
-		slot = gangSlot
-	}
-	if now-max(t.accepted, t.after) >= reserveAfter && (oldest[slot] == nil || earlier(t, oldest[slot])) {
-		oldest[slot] = t
+	if now-max(t.accepted, t.after) >= reserveAfter {
+		slot := slotOf(t.job)
+		blocked[slot] = append(blocked[slot], t)
 	}
 }
 
-func (s *Scheduler) hasReservation(slot int) bool {
+// reservationsOf returns how many further reservations a class, or the gangs, may have.
+func (s *Scheduler) reservationsOf(slot int) int {
+	most := 1
+	if slot != gangSlot {
+		most = min(max(1, len(s.workers)/reserveWorkers), claims/4)
+	}
 	for _, r := range s.reservations {
-		own := int(r.unit.job.shape.key.class)
-		if r.unit.job.gang {
-			own = gangSlot
-		}
-		if own == slot && !r.claim {
-			return true
+		if !r.claim && slotOf(r.unit.job) == slot {
+			most--
 		}
 	}
-	return false
+	return max(most, 0)
 }
 
 // renew uses a reservation whose room is free, and drops or replaces one that cannot be kept.
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -36,6 +36,8 @@
 	fleetChanged bool
 	suspended    []*worker
 
+	kept         [3]float64 // share of the capacity that a class above its floor leaves free
+	headroomAt   clock.Millis
 	reservations []*reservation
 	reserved     map[*task]*reservation
 	offers       map[model.JobID]*offered
@@ -134,6 +136,7 @@
 		s.sweepAt = now + sweepEvery
 		s.sweep(now)
 	}
+	s.updateHeadroom(now)
 	s.wake()
 	s.schedule(now, tickStarts, tickMisses)
 }
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -70,6 +70,17 @@
 	return a.index < b.index
 }
 
+func compareAge(a, b *task) int {
+	switch {
+	case earlier(a, b):
+		return -1
+	case earlier(b, a):
+		return 1
+	default:
+		return 0
+	}
+}
+
 type job struct {
 	id         model.JobID
 	base       model.Base
