Add the operators' command line

Cause: operators need to check, submit, watch and drain from scripts, and to know whether a call ran.

--- a/vbctl/main.go
+++ b/vbctl/main.go
@@ -1,8 +1,18 @@
 // Command vbctl is the operators' command line.
 package main
 
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
 var version = "unknown"
 
 func main() {
-	println(version)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], streams{os.Stdin, os.Stdout, os.Stderr})
+	stop()
+	os.Exit(code)
 }
