Bound the event file and decode each answer afresh

Cause: the event file grew without bound and could fill the disk that holds the replicated logs; a polled job kept fields of an earlier answer; lanes of the picture overlapped for names with an incarnation. Change: trace.File begins a new file at [trace] limit and keeps one old one; it returns the last stamp of an earlier life, so that a clock that was set back does not reorder events. The client decodes into a fresh value. Lanes are as wide as the longest name. Properties of spec and trace run 1000 times. The extended TestJobWait guards the stale field.

--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -23,6 +23,13 @@
 	{Zone: "north-a", Region: "north"},
 }
 
+// TestMain runs each property 1000 times, ten times the default, because they are cheap.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "1000") // before Parse, so that the command line takes precedence
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 func golden(t *testing.T, file, got string) {
 	t.Helper()
 	if *update {
@@ -147,3 +154,15 @@
 		}
 	}
 }
+
+// Guards against two documents that share memory after they were made from one.
+func TestWithKeepsTheOriginal(t *testing.T) {
+	base := spec.New(1).WithTeam(spec.Team{Name: "a"}).WithTeam(spec.Team{Name: "b"})
+	left, right := base.WithTeam(spec.Team{Name: "left"}), base.WithTeam(spec.Team{Name: "right"})
+	if diff := spec.Diff(left, right); diff != "- [team left]\n+ [team right]\n" || spec.Diff(base, left) != "+ [team left]\n" {
+		t.Errorf("difference of two documents from one base:\n%s", diff)
+	}
+	if gone := right.Without(spec.KindTeam, "right"); !gone.Equal(base) || spec.Diff(left, right) == "" {
+		t.Errorf("a document without the added team is not its base:\n%s", spec.Diff(base, gone))
+	}
+}
--- a/core/trace/lines.go
+++ b/core/trace/lines.go
@@ -11,6 +11,9 @@
 	"vanillabridge/core/model"
 )
 
+// ContentType is that of the answer to GET /v1/events: one JSON object on each line.
+const ContentType = "application/x-ndjson"
+
 // maxLine bounds a line that ReadLines reads, in bytes.
 const maxLine = 64 << 10
 
--- a/core/trace/picture.go
+++ b/core/trace/picture.go
@@ -12,7 +12,8 @@
 // Sizes of the picture, in pixels.
 const (
 	rowHeight  = 18
-	laneWidth  = 96
+	laneWidth  = 96 // at least
+	charWidth  = 8
 	timeWidth  = 200
 	headHeight = 40
 	textWidth  = 900
@@ -63,12 +64,16 @@
 	}
 	slices.Sort(names)
 	p := picture{Bottom: headHeight + rowHeight*(len(entries)+1)}
+	width := laneWidth
+	for _, name := range names {
+		width = max(width, charWidth*(len(name)+2))
+	}
 	laneX := make(map[string]int, len(names))
 	for i, name := range names {
-		laneX[name] = timeWidth + laneWidth*i + laneWidth/2
+		laneX[name] = timeWidth + width*i + width/2
 		p.Lanes = append(p.Lanes, lane{Name: name, X: laneX[name]})
 	}
-	textX := timeWidth + laneWidth*len(names)
+	textX := timeWidth + width*len(names)
 	p.Width, p.Height = textX+textWidth, p.Bottom+rowHeight
 	last := map[string]row{}
 	for i, e := range entries {
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -24,6 +24,13 @@
 
 func (s *skewed) Now() clock.Millis { return s.now }
 
+// TestMain runs each property 1000 times, ten times the default, because they are cheap.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "1000") // before Parse, so that the command line takes precedence
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 func golden(t *testing.T, file, got string) {
 	t.Helper()
 	if *update {
@@ -230,6 +237,63 @@
 	}
 }
 
+// Guards against a file that grows without bound, loses whole lines at a change of files, or
+// makes a restarted process with a clock that was set back record events before its old ones.
+func TestFile(t *testing.T) {
+	path := t.TempDir() + "/events"
+	life := func(process string, now clock.Millis, n int) trace.Stamp {
+		f, err := trace.OpenFile(path, 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := trace.NewRecorder(trace.Options{Process: process, Source: &skewed{now: now}, Sink: f})
+		r.Merge(f.Last())
+		var first trace.Stamp
+		for i := range n {
+			stamp := r.Record(trace.Ready{})
+			if i == 0 {
+				first = stamp
+			}
+			if err := r.Flush(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := f.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return first
+	}
+	life("a#1", 100, 15)
+	if err := os.WriteFile(path, append(read(t, path), "torn"...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if first := life("a#2", 50, 6); first != (trace.Stamp{Time: 100, Count: 15}) {
+		t.Errorf("the second life begins at %v, want 100.15", first)
+	}
+	old, now := read(t, path+".1"), read(t, path)
+	if len(old) > 1000 || len(now) > 1000 {
+		t.Errorf("files of %d and %d bytes, limit 1000", len(old), len(now))
+	}
+	entries, skipped, err := trace.ReadLines(bytes.NewReader(append(old, now...)))
+	if err != nil || skipped != 1 || len(entries) < 10 {
+		t.Fatalf("%d events, %d lines skipped, error %v", len(entries), skipped, err)
+	}
+	for i := 1; i < len(entries); i++ {
+		if entries[i-1].Stamp.Compare(entries[i].Stamp) >= 0 {
+			t.Errorf("event %d at %v follows %v", i, entries[i].Stamp, entries[i-1].Stamp)
+		}
+	}
+}
+
+func read(t *testing.T, path string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
 // Guards against a kind of event that the reader does not know or reads as another.
 func TestEveryKindRoundTrips(t *testing.T) {
 	for _, kind := range trace.Kinds() {
--- a/vbctl/client/attempt.go
+++ b/vbctl/client/attempt.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -129,9 +130,12 @@
 		*into = text
 		return nil
 	default:
-		if err := json.Unmarshal(text, into); err != nil {
+		// A fresh value: fields that an earlier answer set and this one leaves out must not stay.
+		fresh := reflect.New(reflect.TypeOf(into).Elem())
+		if err := json.Unmarshal(text, fresh.Interface()); err != nil {
 			return &Error{Server: base, Status: status, Outcome: proto.OutcomeUnknown, Text: "the answer cannot be read: " + err.Error()}
 		}
+		reflect.ValueOf(into).Elem().Set(fresh.Elem())
 		return nil
 	}
 }
--- a/vbctl/client/client.go
+++ b/vbctl/client/client.go
@@ -37,7 +37,7 @@
 	}
 	c := &Client{}
 	for _, server := range o.Servers {
-		base, err := baseURL(server)
+		base, err := baseURL(strings.TrimSpace(server))
 		if err != nil {
 			return nil, err
 		}
--- a/vbctl/main_test.go
+++ b/vbctl/main_test.go
@@ -209,7 +209,7 @@
 func TestJobWait(t *testing.T) {
 	for status, last := range map[int]proto.Counts{statusDone: {Done: 2}, statusFailed: {Done: 1, Failed: 1}} {
 		polls := []http.HandlerFunc{
-			answer(200, proto.JobReply{Job: "report/1", Counts: proto.Counts{Waiting: 1, Running: 1}}),
+			answer(200, proto.JobReply{Job: "report/1", Reason: "no worker", Counts: proto.Counts{Waiting: 1, Running: 1}}),
 			refuse(503, "notrun"), breakOff,
 			answer(200, proto.JobReply{Job: "report/1", Counts: proto.Counts{Assigned: 1, Done: 1}}),
 			answer(200, proto.JobReply{Job: "report/1", Counts: last}),
@@ -222,6 +222,9 @@
 		if got != status || int(n.Load()) != len(polls) {
 			t.Errorf("exit status %d after %d polls, want %d after %d\n%s%s", got, n.Load(), status, len(polls), out, errs)
 		}
+		if strings.Contains(out, "no worker") {
+			t.Errorf("the last answer keeps the reason of an earlier one:\n%s", out)
+		}
 		if i.received()[0] != "GET /v1/jobs/report/1 " {
 			t.Errorf("request %q", i.received()[0])
 		}
--- a/vbridged/config/config_test.go
+++ b/vbridged/config/config_test.go
@@ -90,7 +90,7 @@
 		Worker:    config.Worker{Lease: 10_000, Sync: 500},
 		Drain:     config.Drain{Time: 30_000},
 		Log:       config.Log{Level: config.LevelDebug},
-		Trace:     config.Trace{Size: 32_768},
+		Trace:     config.Trace{Size: 32_768, Limit: 64 << 20},
 	}
 	if diff := cmp.Diff(want, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
 		t.Errorf("settings (-want +got):\n%s", diff)
--- a/vbridged/config/settings.go
+++ b/vbridged/config/settings.go
@@ -105,8 +105,9 @@
 
 // Trace holds the section [trace].
 type Trace struct {
-	Size int    // events kept in memory
-	File string // empty for none
+	Size  int    // events kept in memory
+	File  string // empty for none
+	Limit Bytes  // of the file
 }
 
 // TLS holds the section [tls]; all fields are empty if connections are not encrypted.
--- a/vbridged/config/table.go
+++ b/vbridged/config/table.go
@@ -118,6 +118,10 @@
 		section: "trace", name: "file", doc: "file for the events of the timeline, in lines of JSON; none if empty",
 		target: func(s *Settings) any { return &s.Trace.File },
 	},
+	{
+		section: "trace", name: "limit", fallback: "64MiB", min: mib, max: 1024 * mib, doc: "size at which the file is put aside as `file.1`, in place of the one before; the two take at most twice as much of the disk",
+		target: func(s *Settings) any { return &s.Trace.Limit },
+	},
 	{
 		section: "tls", name: "certificate", doc: "file with the certificate of this instance (PEM); set it together with key",
 		target: func(s *Settings) any { return &s.TLS.Certificate },
