vbstand: add the process-level fault tests

Nine kinds of failure run against the built programs: kill of an entry instance, of zone leaders, a loop of kills, a pause of 20 s, a silent cut, a wiped data folder with a second kill, racing operators, workers that fail all starts, and a pause together with a cut.

Measured: they compile and are skipped without VBSTAND_BIN. Not run: the daemon cannot serve yet.

--- /dev/null
+++ b/vbstand/chaos/cluster_test.go
@@ -0,0 +1,328 @@
+package chaos_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+	"vanillabridge/vbstand/admin"
+	"vanillabridge/vbstand/entry"
+	"vanillabridge/vbstand/record"
+	"vanillabridge/vbstand/sample"
+)
+
+// zones of the cell; the region of a zone has its name without the suffix.
+var zones = []model.Zone{"east-a", "west-a", "north-a"}
+
+// members are the instances of each zone; a zone of two has a witness.
+var (
+	members   = map[model.Zone][]string{"east-a": {"east1", "east2", "east3"}, "west-a": {"west1", "west2"}, "north-a": {"north1", "north2"}}
+	witnesses = map[model.Zone]string{"west-a": "east2", "north-a": "east3"}
+)
+
+const cellVoters = "east1, west1, north1, east2, west2"
+
+type instance struct {
+	name, http, peer string
+	zone             model.Zone
+}
+
+type process struct {
+	cmd   *exec.Cmd
+	entry string
+	done  chan error
+}
+
+// cluster is a cell of processes on loopback.
+type cluster struct {
+	t         *testing.T
+	bin, dir  string
+	instances []instance
+	relays    map[[2]string]*relay // by names of the sides
+	running   map[string]*process
+	journal   *record.Writer
+}
+
+func newCluster(t *testing.T, bin string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, bin: bin, dir: t.TempDir(), relays: map[[2]string]*relay{}, running: map[string]*process{}}
+	if keep := os.Getenv("VBSTAND_KEEP"); keep != "" {
+		c.dir = filepath.Join(keep, t.Name())
+		if err := os.MkdirAll(c.dir, 0o755); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var err error
+	if c.journal, err = record.Open(filepath.Join(c.dir, "test.jsonl")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.killAll)
+	ports, err := exec.Command(filepath.Join(bin, "vbstand"), "ports", "14").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := strings.Fields(string(ports))
+	for _, z := range zones {
+		for _, name := range members[z] {
+			c.instances = append(c.instances, instance{name, "127.0.0.1:" + list[0], "127.0.0.1:" + list[1], z})
+			list = list[2:]
+		}
+	}
+	for _, a := range c.instances {
+		for _, b := range c.instances {
+			if a.zone != b.zone {
+				c.relays[[2]string{a.name, b.name}] = newRelay(t, b.peer)
+			}
+		}
+	}
+	return c
+}
+
+func (c *cluster) find(name string) instance {
+	for _, i := range c.instances {
+		if i.name == name {
+			return i
+		}
+	}
+	return instance{}
+}
+
+// settings returns the settings file of an instance. Only its first start founds groups.
+func (c *cluster) settings(i instance, bootstrap bool) string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "[instance]\nname = %s\nzone = %s\nregion = %s\ndata = %s\nbootstrap = %v\n",
+		i.name, i.zone, region(i.zone), c.data(i.name), bootstrap)
+	fmt.Fprintf(&b, "[listen]\nhttp = %s\npeer = %s\n[peers]\n", i.http, i.peer)
+	for _, o := range c.instances {
+		if o.name == i.name {
+			continue
+		}
+		peer := o.peer
+		if r := c.relays[[2]string{i.name, o.name}]; r != nil {
+			peer = r.address()
+		}
+		fmt.Fprintf(&b, "%s = %s %s %s %s\n", o.name, o.zone, region(o.zone), o.http, peer)
+	}
+	fmt.Fprintf(&b, "[group]\nvoters = %s\ncell = %s\n", strings.Join(members[i.zone], ", "), cellVoters)
+	if w := witnesses[i.zone]; w != "" {
+		fmt.Fprintf(&b, "witness = %s\n", w)
+	}
+	for z, w := range witnesses {
+		if w == i.name {
+			fmt.Fprintf(&b, "[witness]\n%s = %s\n", z, strings.Join(members[z], ", "))
+		}
+	}
+	return b.String()
+}
+
+func region(z model.Zone) string { return strings.TrimSuffix(string(z), "-a") }
+
+func (c *cluster) data(name string) string { return filepath.Join(c.dir, "data-"+name) }
+
+// event records what the test does to a process.
+func (c *cluster) event(kind record.EventKind, name string, status int) {
+	c.journal.Write(record.Line{Event: &record.Event{
+		Event: kind, Name: name, Entry: c.find(name).http, Time: record.Now(), Status: status,
+	}})
+}
+
+// run starts a program. The kernel ends it should the test end without cleaning up.
+func (c *cluster) run(name, program string, args ...string) {
+	c.t.Helper()
+	log, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(filepath.Join(c.bin, program), args...)
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	p := &process{cmd: cmd, entry: c.find(name).http, done: make(chan error, 1)}
+	go func() { p.done <- cmd.Wait() }()
+	c.running[name] = p
+	c.event(record.EventStart, name, 0)
+}
+
+func (c *cluster) startInstance(name string, bootstrap bool) {
+	c.t.Helper()
+	file := filepath.Join(c.dir, name+".ini")
+	if err := os.WriteFile(file, []byte(c.settings(c.find(name), bootstrap)), 0o644); err != nil {
+		c.t.Fatal(err)
+	}
+	c.run(name, "vbridged", "serve", "--settings", file)
+}
+
+func (c *cluster) entries(z model.Zone) string {
+	var list []string
+	for _, i := range c.instances {
+		if z == "" || i.zone == z {
+			list = append(list, i.http)
+		}
+	}
+	return strings.Join(list, ",")
+}
+
+func (c *cluster) startWorker(name string, z model.Zone, rack int, args ...string) {
+	c.t.Helper()
+	c.run(name, "vbstand", append([]string{
+		"worker", "--name", name, "--zone", string(z), "--rack", fmt.Sprintf("r%d", rack),
+		"--entries", c.entries(z), "--cpu", "8000", "--memory", "16384", "--accel", "2", "--times", "1",
+		"--journal", filepath.Join(c.dir, name+".jsonl"),
+	}, args...)...)
+}
+
+func (c *cluster) startServer(name string, z model.Zone, args ...string) {
+	c.t.Helper()
+	c.run(name, "vbstand", append([]string{
+		"backend", "--name", name, "--zone", string(z), "--service", sample.Service, "--entries", c.entries(z),
+		"--time", "50ms", "--journal", filepath.Join(c.dir, name+".jsonl"),
+	}, args...)...)
+}
+
+// kill ends a process without notice.
+func (c *cluster) kill(name string) {
+	c.t.Helper()
+	p := c.running[name]
+	delete(c.running, name)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	c.event(record.EventKill, name, 0)
+}
+
+func (c *cluster) signal(name string, kind record.EventKind, s syscall.Signal) {
+	c.t.Helper()
+	if err := c.running[name].cmd.Process.Signal(s); err != nil {
+		c.t.Fatal(err)
+	}
+	c.event(kind, name, 0)
+}
+
+func (c *cluster) pause(name string)  { c.signal(name, record.EventStop, syscall.SIGSTOP) }
+func (c *cluster) resume(name string) { c.signal(name, record.EventCont, syscall.SIGCONT) }
+
+func (c *cluster) wipe(name string) {
+	c.t.Helper()
+	if err := os.RemoveAll(c.data(name)); err != nil {
+		c.t.Fatal(err)
+	}
+	c.event(record.EventWipe, name, 0)
+}
+
+// cut cuts a zone off from the others, or ends the cut.
+func (c *cluster) cut(z model.Zone, cut bool) {
+	for pair, r := range c.relays {
+		if c.find(pair[0]).zone == z || c.find(pair[1]).zone == z {
+			r.set(cut)
+		}
+	}
+	kind := record.EventHeal
+	if cut {
+		kind = record.EventCut
+	}
+	for _, name := range members[z] {
+		c.event(kind, name, 0)
+	}
+}
+
+// stop ends processes gracefully, all at once.
+func (c *cluster) stop(match func(name string) bool) {
+	c.t.Helper()
+	var names []string
+	for name, p := range c.running {
+		if match(name) {
+			names = append(names, name)
+			c.event(record.EventTerm, name, 0)
+			_ = p.cmd.Process.Signal(syscall.SIGTERM)
+		}
+	}
+	for _, name := range names {
+		p := c.running[name]
+		delete(c.running, name)
+		select {
+		case <-p.done:
+			c.event(record.EventExit, name, p.cmd.ProcessState.ExitCode())
+		case <-time.After(40 * time.Second):
+			_ = p.cmd.Process.Kill()
+			<-p.done
+			c.event(record.EventExit, name, -1)
+		}
+	}
+}
+
+// killAll leaves no process behind, whatever the test did.
+func (c *cluster) killAll() {
+	for _, p := range c.running {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	if err := c.journal.Close(); err != nil {
+		c.t.Error(err)
+	}
+}
+
+func (c *cluster) targets() []admin.Target {
+	var out []admin.Target
+	for _, i := range c.instances {
+		out = append(out, admin.Target{Name: model.Instance(i.name), Address: i.http})
+	}
+	return out
+}
+
+// ready waits until all instances are ready.
+func (c *cluster) ready(limit time.Duration) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := admin.Ready(ctx, c.targets()); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// leader returns the instance that leads the group of a zone.
+func (c *cluster) leader(z model.Zone) string {
+	c.t.Helper()
+	name, err := c.findLeader(z)
+	for n := 0; err != nil && n < 50; n++ {
+		time.Sleep(200 * time.Millisecond)
+		name, err = c.findLeader(z)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return name
+}
+
+func (c *cluster) findLeader(z model.Zone) (string, error) {
+	for _, name := range members[z] {
+		address := c.find(name).http
+		list, err := entry.NewList(&http.Client{Timeout: time.Second}, []string{address})
+		if err != nil {
+			return "", err
+		}
+		var status proto.StatusReply
+		if list.Do(context.Background(), http.MethodGet, address, "/v1/status", nil, &status) != nil {
+			continue
+		}
+		for _, g := range status.Groups {
+			leader, _, _ := strings.Cut(g.Leader, "#")
+			if strings.Contains(g.Group, string(z)) && c.running[leader] != nil {
+				return leader, nil
+			}
+		}
+	}
+	return "", errors.New("no instance names a leader of " + string(z))
+}
--- /dev/null
+++ b/vbstand/chaos/kinds_test.go
@@ -0,0 +1,190 @@
+package chaos_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"vanillabridge/core/model"
+	"vanillabridge/vbstand/record"
+)
+
+// seed fixes which processes the loops hit.
+const seed = 1
+
+// Guards against harm when an instance that leads nothing dies under load.
+func TestKillEntry(t *testing.T) {
+	scenario(t, "kill", func(c *cluster) {
+		name := c.other("east-a")
+		c.kill(name)
+		time.Sleep(3 * time.Second)
+		c.startInstance(name, false)
+	})
+}
+
+// Guards against harm when the leader of a zone dies under load.
+func TestKillLeader(t *testing.T) {
+	scenario(t, "leader", func(c *cluster) {
+		for _, z := range []model.Zone{"east-a", "west-a"} {
+			name := c.leader(z)
+			c.kill(name)
+			time.Sleep(3 * time.Second)
+			c.startInstance(name, false)
+		}
+	})
+}
+
+// Guards against state that is lost when instances die one after the other.
+func TestKillLoop(t *testing.T) {
+	scenario(t, "loop", func(c *cluster) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		for range 5 {
+			name := c.instances[rng.IntN(len(c.instances))].name
+			c.kill(name)
+			time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
+			c.startInstance(name, false)
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
+// Guards against a leader that acts on its old term after a pause.
+func TestPauseLeader(t *testing.T) {
+	scenario(t, "pause", func(c *cluster) {
+		name := c.leader("west-a")
+		c.pause(name)
+		time.Sleep(20 * time.Second)
+		c.resume(name)
+	})
+}
+
+// Guards against two sides that both act for a zone when links fall silent.
+func TestCutZone(t *testing.T) {
+	scenario(t, "cut", func(c *cluster) {
+		c.cut("north-a", true)
+		time.Sleep(15 * time.Second)
+		c.cut("north-a", false)
+	})
+}
+
+// Guards against a member with an empty data folder that votes as before, and against a
+// second loss right after the repair.
+func TestWipeAndSecondKill(t *testing.T) {
+	scenario(t, "wipe", func(c *cluster) {
+		name := c.other("east-a")
+		c.kill(name)
+		c.wipe(name)
+		c.startInstance(name, false)
+		c.ready(20 * time.Second)
+		second := c.leader("east-a")
+		c.kill(second)
+		time.Sleep(5 * time.Second)
+		c.startInstance(second, false)
+	})
+}
+
+// Guards against two winners of one version, and against a resend that changes the answer.
+func TestRacingOperators(t *testing.T) {
+	scenario(t, "race", func(c *cluster) {
+		for round := range 5 {
+			next := c.version() + 1
+			var group sync.WaitGroup
+			for n := range 4 {
+				group.Go(func() {
+					name := fmt.Sprintf("%d-%d", round, n)
+					c.submit(next, "race-"+name, "mark-r"+name, 15*time.Second)
+					c.submit(next, "race-"+name, "mark-r"+name, 15*time.Second)
+				})
+			}
+			group.Wait()
+		}
+	})
+}
+
+// Guards against jobs that fail because one worker fails all its starts.
+func TestFailingWorker(t *testing.T) {
+	scenario(t, "worker", func(c *cluster) { time.Sleep(5 * time.Second) }, "--nostart")
+}
+
+// Guards against harm when a leader is paused while another zone is cut off.
+func TestPauseAndCut(t *testing.T) {
+	scenario(t, "two", func(c *cluster) {
+		name := c.leader("east-a")
+		c.pause(name)
+		c.cut("north-a", true)
+		time.Sleep(10 * time.Second)
+		c.cut("north-a", false)
+		time.Sleep(10 * time.Second)
+		c.resume(name)
+	})
+}
+
+// other returns an instance of the zone that does not lead it.
+func (c *cluster) other(z model.Zone) string {
+	c.t.Helper()
+	leader := c.leader(z)
+	for _, name := range members[z] {
+		if name != leader {
+			return name
+		}
+	}
+	c.t.Fatalf("zone %s has no instance beside its leader", z)
+	return ""
+}
+
+// scenario runs one kind of failure under load. The arguments go to one worker of each zone.
+func scenario(t *testing.T, kind string, fail func(*cluster), worker ...string) {
+	t.Parallel()
+	bin := programs(t)
+	c := newCluster(t, bin)
+	for _, i := range c.instances {
+		c.startInstance(i.name, true)
+	}
+	for _, z := range zones {
+		c.startWorker("worker-"+region(z)+"1", z, 1, worker...)
+		c.startWorker("worker-"+region(z)+"2", z, 1)
+		c.startWorker("worker-"+region(z)+"3", z, 2)
+		c.startServer("server-"+region(z)+"1", z)
+		c.startServer("server-"+region(z)+"2", z)
+	}
+	c.ready(20 * time.Second)
+	first := c.submit(1, "first", "mark-first", 20*time.Second)
+	if !first.Accepted {
+		t.Fatalf("first configuration: %+v", first)
+	}
+	time.Sleep(2 * time.Second) // backend servers get their first requests after two announcements
+	l := c.startLoad(first.End)
+	time.Sleep(2 * time.Second)
+
+	var operator sync.WaitGroup
+	operator.Go(func() {
+		time.Sleep(time.Second)
+		c.submit(c.version()+1, "during", "mark-during", 30*time.Second)
+	})
+	fail(c)
+	operator.Wait()
+	c.ready(20 * time.Second)
+	if last := c.submit(c.version()+1, "after", "mark-after", 20*time.Second); !last.Accepted {
+		t.Errorf("configuration after the failure: %+v", last)
+	}
+	l.end()
+	c.recovered()
+	judge(t, c, kind)
+}
+
+// recovered checks that requests succeed again once the failure is over.
+func (c *cluster) recovered() {
+	c.t.Helper()
+	done := 0
+	sends := c.call(c.t.Context(), "after", 9, [3]int{1, 1, 1}, 80)
+	for _, s := range sends {
+		if s.Told == record.ToldDone && s.Whole {
+			done++
+		}
+	}
+	if done < 76 {
+		c.t.Errorf("after the failure %d of 80 requests were done in %d sends", done, len(sends))
+	}
+}
--- /dev/null
+++ b/vbstand/chaos/load_test.go
@@ -0,0 +1,113 @@
+package chaos_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+	"vanillabridge/vbstand/admin"
+	"vanillabridge/vbstand/caller"
+	"vanillabridge/vbstand/entry"
+	"vanillabridge/vbstand/record"
+	"vanillabridge/vbstand/sample"
+)
+
+const (
+	// taskTime lets tasks run while the failure happens.
+	taskTime = 6000
+	// jobLimit covers a lease that has to end before a task may move, and a second try.
+	jobLimit = 45 * time.Second
+)
+
+// load is what goes on while the failure happens.
+type load struct {
+	c      *cluster
+	cancel context.CancelFunc
+	calls  sync.WaitGroup
+	watch  sync.WaitGroup
+	jobs   sync.WaitGroup
+}
+
+func (c *cluster) list() *entry.List {
+	c.t.Helper()
+	l, err := entry.NewList(&http.Client{}, strings.Split(c.entries(""), ","))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return l
+}
+
+// submit submits a configuration for a version and records the answer.
+func (c *cluster) submit(version uint64, key, mark string, limit time.Duration) record.Submit {
+	c.t.Helper()
+	text, err := sample.Document(version, zones, taskTime, mark).Text()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	s := admin.Submit(ctx, c.list(), key, mark, text)
+	c.journal.Write(record.Line{Submit: &s})
+	return s
+}
+
+// version returns the highest version that any instance has in force.
+func (c *cluster) version() uint64 {
+	var highest uint64
+	for _, t := range c.targets() {
+		var reply proto.ConfigReply
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		if c.list().Do(ctx, http.MethodGet, t.Address, "/v1/config", nil, &reply) == nil {
+			highest = max(highest, reply.Version)
+		}
+		cancel()
+	}
+	return highest
+}
+
+// startLoad starts the requests, the observation of configurations and the wait for jobs.
+func (c *cluster) startLoad(accepted record.Micros) *load {
+	c.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{c: c, cancel: cancel}
+	c.t.Cleanup(cancel)
+	for seed, mix := range []caller.Mix{{1, 1, 1}, {0, 0, 1}} {
+		l.calls.Go(func() { c.call(ctx, "during", uint64(seed+1), mix, 100_000) })
+	}
+	l.watch.Go(func() { admin.Watch(ctx, c.targets(), 300*time.Millisecond, c.journal) })
+	for _, job := range []model.JobID{"report/a", "train/a"} {
+		l.jobs.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), jobLimit)
+			defer cancel()
+			out := admin.Await(ctx, c.list(), job, accepted)
+			c.journal.Write(record.Line{Job: &out})
+		})
+	}
+	return l
+}
+
+// call sends requests through all instances and returns the sends.
+func (c *cluster) call(ctx context.Context, phase string, seed uint64, mix caller.Mix, count int) []record.Send {
+	gen, err := caller.New(caller.Options{
+		Name: "portal", Service: sample.Service, Entries: strings.Split(c.entries(""), ","),
+		Count: count, Rate: 40, Workers: 48, Time: 2 * time.Minute, Mix: mix, Once: 0.5,
+		Deadline: 3 * time.Second, Body: 512, Resends: 3, Pause: 300 * time.Millisecond, Phase: phase, Seed: seed,
+	}, c.journal)
+	if err != nil {
+		c.t.Error(err)
+		return nil
+	}
+	return gen.Run(ctx)
+}
+
+// end ends the load. Observations go on until the jobs have ended.
+func (l *load) end() {
+	l.jobs.Wait()
+	l.cancel()
+	l.calls.Wait()
+	l.watch.Wait()
+}
--- /dev/null
+++ b/vbstand/chaos/main_test.go
@@ -0,0 +1,73 @@
+package chaos_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"text/tabwriter"
+
+	"vanillabridge/vbstand/audit"
+	"vanillabridge/vbstand/record"
+)
+
+// results holds what the tests found, by kind of failure.
+var results struct {
+	sync.Mutex
+	kinds []string
+	found map[string]*audit.Result
+}
+
+func TestMain(m *testing.M) {
+	results.found = map[string]*audit.Result{}
+	status := m.Run()
+	printResults()
+	os.Exit(status)
+}
+
+func programs(t *testing.T) string {
+	t.Helper()
+	bin := os.Getenv("VBSTAND_BIN")
+	if bin == "" {
+		t.Skip("VBSTAND_BIN is not set; run make faults")
+	}
+	return bin
+}
+
+// judge stops the cell gracefully, checks its journals and keeps the result for the table.
+func judge(t *testing.T, c *cluster, kind string) {
+	t.Helper()
+	isInstance := func(name string) bool { return c.find(name).name != "" }
+	c.stop(func(name string) bool { return !isInstance(name) })
+	c.stop(isInstance)
+	lines, err := record.ReadDir(c.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := audit.Check(lines)
+	for _, v := range r.Violations {
+		t.Errorf("broken promise %s: %s", v.Promise, v.Detail)
+	}
+	results.Lock()
+	defer results.Unlock()
+	results.kinds = append(results.kinds, kind)
+	results.found[kind] = r
+}
+
+func printResults() {
+	if len(results.kinds) == 0 {
+		return
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "checked/violations\t"+strings.Join(results.kinds, "\t"))
+	for _, p := range audit.Promises() {
+		_, _ = fmt.Fprint(t, p)
+		for _, kind := range results.kinds {
+			r := results.found[kind]
+			_, _ = fmt.Fprintf(t, "\t%d/%d", r.Checked[p], r.Broken(p))
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	_ = t.Flush()
+}
--- /dev/null
+++ b/vbstand/chaos/relay_test.go
@@ -0,0 +1,120 @@
+package chaos_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+)
+
+// relay forwards TCP connections to one address. A cut relay accepts connections and reads
+// nothing, like a network that drops all packets without closing a connection.
+type relay struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	cond  *sync.Cond
+	cut   bool
+	ended bool
+	conns []net.Conn
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, target: target}
+	r.cond = sync.NewCond(&r.mu)
+	t.Cleanup(r.close)
+	go r.accept()
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) set(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	r.cond.Broadcast()
+}
+
+func (r *relay) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	r.cond.Broadcast()
+	_ = r.listener.Close()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// wait blocks while the relay is cut and reports whether it still runs.
+func (r *relay) wait() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.cut && !r.ended {
+		r.cond.Wait()
+	}
+	return !r.ended
+}
+
+func (r *relay) keep(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = append(r.conns, c)
+	return !r.ended
+}
+
+func (r *relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.forward(in)
+	}
+}
+
+func (r *relay) forward(in net.Conn) {
+	defer func() { _ = in.Close() }()
+	if !r.keep(in) || !r.wait() {
+		return
+	}
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = out.Close() }()
+	if !r.keep(out) {
+		return
+	}
+	var group sync.WaitGroup
+	group.Go(func() { r.pipe(out, in) })
+	group.Go(func() { r.pipe(in, out) })
+	group.Wait()
+}
+
+// pipe copies until either side closes. What was read before a cut arrives after it.
+func (r *relay) pipe(to, from net.Conn) {
+	defer func() { _ = to.Close() }()
+	defer func() { _ = from.Close() }()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if !r.wait() {
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
