--- a/vbstand/chaos/kinds_test.go
+++ b/vbstand/chaos/kinds_test.go
@@ -105,7 +105,7 @@
 
 // Guards against jobs that fail because one worker fails all its starts.
 func TestFailingWorker(t *testing.T) {
-	scenario(t, "worker", func(c *cluster) { time.Sleep(5 * time.Second) }, "--nostart")
+	scenario(t, "worker", func(*cluster) { time.Sleep(5 * time.Second) }, "--nostart")
 }
 
 // Guards against harm when a leader is paused while another zone is cut off.
