--- a/vbstand/admin/await.go
+++ b/vbstand/admin/await.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 
 	"vanillabridge/core/model"
 	"vanillabridge/core/proto"
@@ -18,7 +17,7 @@
 	for {
 		out.Entry, out.Time = list.Current(), record.Now()
 		var reply proto.JobReply
-		err := try(ctx, list, http.MethodGet, "/v1/jobs/"+url.PathEscape(string(job)), nil, &reply)
+		err := try(ctx, list, http.MethodGet, "/v1/jobs/"+string(job), nil, &reply)
 		switch {
 		case err != nil:
 			out.Reason = err.Error()
