place: judge bad workers and bad jobs by proof

Change: a worker starts one task of a job at a time; a failure counts against the job once the worker has succeeded since; a task that failed on 8 distinct workers fails its job in any case.

--- a/core/place/health.go
+++ b/core/place/health.go
@@ -47,7 +47,7 @@
 		return
 	}
 	enough := s.goodFailures(j) >= failWorkers && (j.done == 0 || t.fails >= failWorkers)
-	if enough || s.nowhereLeft(now, j) {
+	if enough || t.fails >= failAny || s.nowhereLeft(now, j) {
 		s.failJob(now, j, fmt.Sprintf("failed on %d workers, last: %s", len(j.failed), e.Reason))
 	}
 }
@@ -94,22 +94,18 @@
 	s.emit(Resumed{Worker: w.id})
 }
 
-// goodFailures counts the workers on which the job failed and that are good as far as is known: not
-// suspended, and no other job failed there since the last success.
+// goodFailures counts the workers on which the job failed and that have succeeded with a task
+// since. Before that it is not known whether the job or the worker is bad.
 func (s *Scheduler) goodFailures(j *job) int {
 	n := 0
-	for id := range j.failed {
-		if w, ok := s.workers[id]; ok && !w.health.suspended && w.health.onlyBlames(j) {
+	for id, at := range j.failed {
+		if w, ok := s.workers[id]; ok && w.health.good > at {
 			n++
 		}
 	}
 	return n
 }
 
-func (h *health) onlyBlames(j *job) bool {
-	return len(h.streak) == 0 || (len(h.streak) == 1 && h.streak[0] == j.id)
-}
-
 // nowhereLeft reports whether the job has failed on every worker that is not suspended.
 func (s *Scheduler) nowhereLeft(now clock.Millis, j *job) bool {
 	if len(j.failed) < failWorkers {
--- a/core/place/params.go
+++ b/core/place/params.go
@@ -92,6 +92,7 @@
 const (
 	suspendJobs = 3 // distinct jobs failing in a row suspend a worker
 	failWorkers = 3 // distinct good workers on which a job fails for good
+	failAny     = 8 // distinct workers on which a task fails for good, whether or not they are good
 	probeAfter  = 30 * clock.Second
 	probeMost   = 10 * clock.Minute
 	kindKept    = clock.Hour
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -140,7 +140,7 @@
 	if w.reserved != nil && w.reserved.unit != t && !w.besides(now, t, n) {
 		return n, false
 	}
-	return n, t.job.gang || !w.untried(t.job)
+	return n, t.job.gang || !w.starting(t.job)
 }
 
 // clamp bounds a charge to the worker: a task that may need more than one worker has gets one for
@@ -149,20 +149,15 @@
 	return model.Size{CPU: min(need.CPU, w.usable.CPU), Memory: min(need.Memory, w.usable.Memory), Accel: need.Accel}
 }
 
-// untried reports whether the worker has a task of the job that has not started yet and none that
-// has. Until the first has started, a bad worker could fail several tasks of the job at once.
-func (w *worker) untried(j *job) bool {
-	found := false
+// starting reports whether a task of the job has been assigned to the worker and not started yet.
+// A second one waits for it, because a bad worker would fail both.
+func (w *worker) starting(j *job) bool {
 	for _, t := range w.tasks {
-		if t.job != j {
-			continue
-		}
-		if t.phase == running {
-			return false
+		if t.job == j && t.phase == assigned {
+			return true
 		}
-		found = true
 	}
-	return found
+	return false
 }
 
 // assign binds a waiting task to a worker.
