Queue requests by fair shares and choose servers by load

The properties of the pure packages also found two faults.

Change: core/admit (start-time fair queueing over caller and class, charged with slot time, early refusal, longest flow displaced), core/route (least active of two, ejection, spill with hysteresis), and their use in vbridged/entry. rapid properties for capacity, leaving, once, shares and bounded waiting.

Found by the properties and fixed: an instance used a leaving server for 3.049 s (TestLeaving), because a pause below 500 ms did not count and a relay trusted the sender's clock; now a gap of 100 ms counts and the times carry the drift bound. A request was started in the millisecond of its deadline (TestFlood).

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -19,8 +19,10 @@
 	// ForgetTime is the age of evidence at which a server is forgotten. It is far above
 	// EvidenceTime, so that a late message cannot undo the sticky leaving state.
 	ForgetTime = 5 * clock.Minute
-	// PauseTime is the gap between two steps that counts as a pause of the process.
-	PauseTime = 500 * clock.Millisecond
+	// PauseTime is the gap between two steps that counts as a pause of the process. Work
+	// must end 3 s after a server said that it leaves: EvidenceTime with drift, this gap
+	// and up to 800 ms in transit add up to less.
+	PauseTime = 100 * clock.Millisecond
 	// PauseTail is the time after a pause in which announcements may come from buffers that
 	// filled during the pause.
 	PauseTail = 250 * clock.Millisecond
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -6,6 +6,9 @@
 	"vanillabridge/core/proto"
 )
 
+// driftPercent bounds the difference in speed of two clocks.
+const driftPercent = 5
+
 // Relayed is an announcement with the age of the evidence when the relay was sent.
 type Relayed struct {
 	Announce proto.Announce `json:"announce"`
@@ -63,11 +66,13 @@
 	}
 	transit := EvidenceTime
 	if r.ToLife == l.life && r.Echo > 0 {
-		transit = max(now-r.Echo-r.Held, 0)
+		// The sender's clock may be the faster one, so its Held counts less.
+		transit = max(now-r.Echo-r.Held+r.Held.Percent(driftPercent), 0)
 	}
 	list := make([]Heard, 0, len(r.List))
 	for _, x := range r.List {
-		list = append(list, Heard{Announce: x.Announce, Age: max(x.Age, 0) + transit})
+		age := max(x.Age, 0)
+		list = append(list, Heard{Announce: x.Announce, Age: age + age.Percent(driftPercent) + transit})
 	}
 	return list
 }
--- a/core/permit/holder.go
+++ b/core/permit/holder.go
@@ -120,17 +120,24 @@
 	}
 }
 
-// Connect takes one of the connections of the static split.
-func (h *Holder) Connect(now clock.Millis, k member.Key) bool {
+// CanConnect reports whether Connect would succeed.
+func (h *Holder) CanConnect(now clock.Millis, k member.Key) bool {
 	s, ok := h.seats[k]
 	if !ok || now < h.limits.FloorFrom {
 		return false
 	}
-	s.closed = slices.DeleteFunc(s.closed, func(t clock.Millis) bool { return t <= now })
-	if s.open+len(s.closed) >= s.conns/max(1, h.limits.Entries) {
+	if len(s.closed) > 0 {
+		s.closed = slices.DeleteFunc(s.closed, func(t clock.Millis) bool { return t <= now })
+	}
+	return s.open+len(s.closed) < s.conns/max(1, h.limits.Entries)
+}
+
+// Connect takes one of the connections of the static split.
+func (h *Holder) Connect(now clock.Millis, k member.Key) bool {
+	if !h.CanConnect(now, k) {
 		return false
 	}
-	s.open++
+	h.seats[k].open++
 	return true
 }
 
--- /dev/null
+++ b/core/permit/permit_test.go
@@ -0,0 +1,336 @@
+package permit_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/member"
+	"vanillabridge/core/model"
+	"vanillabridge/core/permit"
+)
+
+const (
+	slots   = 8
+	conns   = 16
+	locals  = 3 // entry instances of the server's zone
+	entries = 4
+)
+
+var (
+	key   = member.Key{Name: "b", Incarnation: 1}
+	names = []model.Instance{"a0", "a1", "a2", "far"}
+)
+
+// job is a request as the backend server sees it: it ends by its deadline at the latest.
+type job struct {
+	sent bool
+	end  clock.Millis // global time at which the server ends it
+	till clock.Millis // deadline on the clock of the instance
+	life int
+}
+
+type instance struct {
+	life    int
+	up      bool
+	wake    clock.Millis // global time until which it is paused
+	drift   clock.Millis // parts per thousand
+	offset  clock.Millis
+	renewed clock.Millis
+	holder  *permit.Holder
+	jobs    []*job
+}
+
+type packet struct {
+	at     clock.Millis
+	to     int
+	life   int
+	ask    *permit.Request
+	answer *permit.Answer
+}
+
+// fleet simulates the entry instances of two zones, one backend server and the network.
+type fleet struct {
+	t        *rapid.T
+	now      clock.Millis
+	list     []*instance
+	granters []*permit.Granter
+	leader   int
+	lease    clock.Millis // global end of the leader's lease
+	epoch    model.Epoch
+	net      []packet
+	ran      int
+	remote   int
+	peak     int
+	counted  *int
+	counting bool // the server counts its requests
+	counts   clock.Millis
+	floored  bool // a request ran on a floor while there was no leader
+}
+
+func (f *fleet) pick(label string, n int) int { return rapid.IntRange(0, n-1).Draw(f.t, label) }
+
+// local returns the clock of an instance.
+func (f *fleet) local(i int) clock.Millis {
+	n := f.list[i]
+	return n.offset + f.now*(1000+n.drift)/1000
+}
+
+func (f *fleet) start(i int, first bool) {
+	n := f.list[i]
+	n.life++
+	n.up = true
+	l := permit.Limits{
+		Instance: names[i], Incarnation: model.Incarnation(n.life), Zone: "a", ZoneEntries: locals, Entries: entries,
+		FloorFrom: f.local(i),
+	}
+	if i >= locals {
+		l.Zone, l.ZoneEntries = "far", 1
+	}
+	if !first {
+		l.FloorFrom += permit.WithDrift(permit.RequestTime)
+	}
+	n.holder = permit.NewHolder(l)
+	if i < locals {
+		n.holder.Offer(f.local(i), key, "a", slots, conns)
+		f.granters[i] = permit.NewGranter("a", locals)
+	}
+}
+
+// awake reports whether an instance takes steps.
+func (f *fleet) awake(i int) bool { return f.list[i].up && f.now >= f.list[i].wake }
+
+func (f *fleet) server(i int) []member.Server {
+	return []member.Server{{
+		Key: key, Service: "s", Zone: "a", Slots: slots, Conns: conns, Eligible: true,
+		Evidence: f.local(i) - (f.now - f.counts), Active: f.counted,
+	}}
+}
+
+func (f *fleet) renew(i int) {
+	n := f.list[i]
+	n.renewed = f.now
+	var needs []permit.Need
+	if i >= locals {
+		needs = []permit.Need{{Service: "s", Want: slots - f.pick("need", slots)}}
+	} else {
+		n.holder.Want(key, slots-f.pick("want", slots+1))
+	}
+	r := n.holder.Renew(f.local(i), "a", needs)
+	f.post(packet{to: f.leader, life: -1, ask: &r}, i)
+}
+
+// post sends a message that may be lost, late, repeated or overtaken.
+func (f *fleet) post(p packet, from int) {
+	if p.ask != nil {
+		p.life = from
+	}
+	for range make([]struct{}, []int{1, 1, 1, 1, 0, 2}[f.pick("copies", 6)]) {
+		p.at = f.now + clock.Millis([]int{5, 1, 60, 400, 2500}[f.pick("delay", 5)])
+		f.net = append(f.net, p)
+	}
+}
+
+func (f *fleet) deliver() {
+	net := f.net
+	f.net = nil
+	for _, p := range net {
+		switch {
+		case p.at > f.now || (f.list[p.to].up && !f.awake(p.to)):
+			f.net = append(f.net, p) // a paused process reads it later
+		case !f.list[p.to].up:
+		case p.ask != nil:
+			a, err := f.granters[p.to].Renew(f.local(p.to), *p.ask, f.server(p.to))
+			if err == nil {
+				f.post(packet{to: p.life, life: f.list[p.life].life, answer: &a}, p.to)
+			}
+		case p.life == f.list[p.to].life:
+			f.list[p.to].holder.Apply(f.local(p.to), "a", *p.answer)
+		}
+	}
+}
+
+// elect gives the leadership to a local instance once the old lease is over.
+func (f *fleet) elect() {
+	if f.now < f.lease {
+		if f.awake(f.leader) && f.granters[f.leader].Leading(f.local(f.leader)) && f.pick("extend", 8) < 7 {
+			f.lead(f.leader)
+		}
+		return
+	}
+	next := f.pick("leader", locals)
+	if !f.awake(next) || f.pick("vote", 16) < 14 {
+		return
+	}
+	f.epoch++
+	f.leader = next
+	f.lead(next)
+}
+
+func (f *fleet) lead(i int) {
+	f.lease = f.now + 1000
+	// The leader's own end of the lease is earlier by the drift bound.
+	f.granters[i].Lead(f.local(i), f.epoch, f.local(i)+940)
+}
+
+func (f *fleet) request(i int) {
+	n := f.list[i]
+	if !n.holder.Connect(f.local(i), key) {
+		return
+	}
+	if !n.holder.Acquire(f.local(i), key) {
+		n.holder.Disconnect(f.local(i), key, 0)
+		return
+	}
+	n.jobs = append(n.jobs, &job{till: f.local(i) + permit.RequestTime, life: n.life})
+}
+
+// progress sends, ends or abandons one request of an instance.
+func (f *fleet) progress(i int) {
+	n := f.list[i]
+	if len(n.jobs) == 0 {
+		return
+	}
+	at := f.pick("job", len(n.jobs))
+	j, now := n.jobs[at], f.local(i)
+	switch {
+	case !j.sent && now < j.till && n.holder.Covered(now, key):
+		j.sent = true
+		f.ran++
+		if i >= locals {
+			f.remote++
+		}
+		f.floored = f.floored || (i < locals && f.now > f.lease+3000)
+		j.end = f.now + min(clock.Millis([]int{12000, 3000, 500, 5}[f.pick("run", 4)]), j.till-now)
+		return
+	case !j.sent:
+		n.holder.Release(now, key, true, j.till)
+		n.holder.Disconnect(now, key, 0)
+	case j.end <= f.now:
+		n.holder.Release(now, key, true, j.till)
+		n.holder.Disconnect(now, key, 0)
+	case f.pick("abandon", 6) == 5 || now >= j.till:
+		n.holder.Release(now, key, false, j.till)
+		n.holder.Disconnect(now, key, j.till+(j.till-now).Percent(permit.DriftPercent))
+		old.jobs = append(old.jobs, j)
+	default:
+		return
+	}
+	n.jobs = append(n.jobs[:at], n.jobs[at+1:]...)
+}
+
+// old holds the requests that no instance remembers but the server may still run.
+var old instance
+
+func (f *fleet) crash(i int) {
+	n := f.list[i]
+	n.up = false
+	old.jobs = append(old.jobs, n.jobs...)
+	n.jobs = nil
+}
+
+// active counts the requests that run on the server and its open connections.
+func (f *fleet) active() (running, open int) {
+	for _, n := range append(f.list, &old) {
+		for _, j := range n.jobs {
+			if j.sent && f.now < j.end {
+				running++
+			}
+			if f.now < j.end || n != &old {
+				open++
+			}
+		}
+	}
+	return running, open
+}
+
+func (f *fleet) step() {
+	f.now += clock.Millis([]int{100, 30, 5, 400}[f.pick("pass", 4)])
+	for i := range f.list {
+		if f.awake(i) && f.pick("busy", 3) < 2 {
+			f.request(i)
+			f.progress(i)
+			f.progress(i)
+		}
+	}
+	f.deliver()
+	f.elect()
+	for i, n := range f.list {
+		if f.awake(i) && f.now-n.renewed >= permit.RenewTime {
+			f.renew(i)
+		}
+	}
+	if f.now-f.counts >= 500 && f.counting {
+		n, _ := f.active()
+		f.counted = &n
+	}
+	if f.now-f.counts >= 500 {
+		f.counts = f.now
+	}
+	i := f.pick("instance", len(f.list))
+	n := f.list[i]
+	switch what := f.pick("what", 200); {
+	case !n.up:
+		f.start(i, false)
+	case !f.awake(i):
+	case what == 199:
+		f.crash(i)
+	case what == 198:
+		f.granters[f.leader].Unlead()
+	case what >= 194:
+		n.wake = f.now + clock.Millis([]int{50, 1500, 6000, 30000}[f.pick("pause", 4)])
+	default:
+		f.progress(i)
+	}
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{t: t, granters: make([]*permit.Granter, locals), counting: rapid.Bool().Draw(t, "counting")}
+	old.jobs = nil
+	for i := range names {
+		f.list = append(f.list, &instance{
+			drift: clock.Millis(rapid.IntRange(-20, 20).Draw(t, "drift")), offset: clock.Millis(1_000_000 * (i + 1)),
+		})
+		f.start(i, true)
+	}
+	return f
+}
+
+// Guards against grants, floors and restarts that together give a backend server more
+// requests or connections than it can carry, whatever is lost, late, repeated, crashed or
+// paused, and over changes of the granter.
+func TestCapacity(t *testing.T) {
+	var sum fleet
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		for range 1500 {
+			f.step()
+			running, open := f.active()
+			if running > slots || open > conns {
+				t.Fatalf("%d requests and %d connections at %v", running, open, f.now)
+			}
+			sum.peak = max(sum.peak, running)
+		}
+		sum.ran, sum.remote, sum.floored = sum.ran+f.ran, sum.remote+f.remote, sum.floored || f.floored
+	})
+	t.Logf("%d requests, %d from another zone, peak %d", sum.ran, sum.remote, sum.peak)
+	if sum.ran < 1000 || sum.remote < 100 || sum.peak < slots || !sum.floored {
+		t.Fatalf("the property saw too little: on a floor without a leader: %v", sum.floored)
+	}
+}
+
+// Guards against a floor and pool that exceed the slots, or a lone instance without a floor.
+func TestFloor(t *testing.T) {
+	for n := 0; n < 200; n++ {
+		for e := 1; e < 50; e++ {
+			floor := permit.Floor(n, e)
+			if e*floor+permit.Pool(n, e) != n {
+				t.Fatalf("%d slots, %d entries: floor %d, pool %d", n, e, floor, permit.Pool(n, e))
+			}
+			if n >= e && floor == 0 {
+				t.Fatalf("%d slots, %d entries: no floor", n, e)
+			}
+		}
+	}
+}
--- a/vbridged/entry/announce.go
+++ b/vbridged/entry/announce.go
@@ -82,10 +82,14 @@
 	for _, out := range e.members.Step(now, in) {
 		switch out := out.(type) {
 		case member.Rose:
+			e.service(out.Server.Service).set.Put(out.Server.Key, out.Server.Slots)
 			e.ports.Events.Record(ServerRose{Server: out.Server})
 		case member.Fell:
 			e.ports.Events.Record(ServerFell{Server: out.Server, Cause: out.Cause})
 			e.closeIdle(now, out.Server)
+			for _, s := range e.services {
+				s.set.Remove(out.Server)
+			}
 		}
 	}
 }
--- a/vbridged/entry/attempt.go
+++ b/vbridged/entry/attempt.go
@@ -42,6 +42,7 @@
 	x := newExchange(l.wire, out, func() error { return e.allow(c, l) })
 	bad, err := e.converse(w, r, c, x, &end)
 	end.sent = x.gate.open.Load()
+	end.quit = !end.sent || r.Context().Err() != nil
 	c.touched = c.touched || end.sent
 	if x.written != nil && !b.ended.Load() {
 		b.abandon()
@@ -171,7 +172,6 @@
 	}
 	a := once.Answer{Digest: c.digest(r), Status: resp.StatusCode, Header: forward(resp.Header), Body: head}
 	if len(head) <= once.KeepBody {
-		_, _ = resp.Body.Read(nil)
 		end.whole = true
 		e.finish(c, a)
 		e.answerHeader(w, c, resp)
--- a/vbridged/entry/call.go
+++ b/vbridged/entry/call.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"vanillabridge/core/admit"
 	"vanillabridge/core/clock"
 	"vanillabridge/core/member"
 	"vanillabridge/core/model"
@@ -43,6 +44,7 @@
 	outcome    proto.Outcome
 	cause      string
 	tries      int
+	place      admit.ID     // in the queue of the service
 	first      clock.Millis // instant of the first permit
 	server     member.Key
 	zone       model.Zone
--- a/vbridged/entry/entry.go
+++ b/vbridged/entry/entry.go
@@ -8,12 +8,12 @@
 	"sync"
 	"sync/atomic"
 
+	"vanillabridge/core/admit"
 	"vanillabridge/core/clock"
 	"vanillabridge/core/member"
 	"vanillabridge/core/model"
 	"vanillabridge/core/permit"
 	"vanillabridge/core/proto"
-	"vanillabridge/core/retry"
 )
 
 // Entry serves callers' requests on one entry instance.
@@ -21,8 +21,9 @@
 	set     Settings
 	ports   Ports
 	metrics *Metrics
-	prefix  string        // of request identifiers
-	number  atomic.Uint64 // of the newest request
+	prefix  string                       // of request identifiers
+	number  atomic.Uint64                // of the newest request
+	urges   map[model.Zone]chan struct{} // asks for an early renewal
 
 	mu       sync.Mutex // guards the fields below
 	members  *member.Table
@@ -31,7 +32,8 @@
 	granter  *permit.Granter
 	fresh    map[member.Key]proto.Announce // newest announcement of each server, for relays
 	idle     map[member.Key][]*wire
-	budgets  map[string]*retry.Budget
+	services map[string]*service
+	ids      admit.ID // of the newest request in a queue
 	draining bool
 	running  int           // requests in progress
 	drained  chan struct{} // closed when draining and nothing is in progress
@@ -47,18 +49,28 @@
 		ports.Dialer = &net.Dialer{}
 	}
 	now := ports.Clock.Now()
-	return &Entry{
+	e := &Entry{
 		set: set, ports: ports, metrics: metrics,
-		prefix:  string(set.Instance) + "-" + strconv.FormatUint(uint64(set.Incarnation), 36) + "-",
-		members: member.New(now),
-		links:   member.NewLinks(set.Instance, set.Incarnation),
-		holder:  permit.NewHolder(set.limits(now)),
-		granter: permit.NewGranter(set.Zone, len(set.Peers)+1),
-		fresh:   map[member.Key]proto.Announce{},
-		idle:    map[member.Key][]*wire{},
-		budgets: map[string]*retry.Budget{},
-		drained: make(chan struct{}),
-	}, nil
+		prefix:   string(set.Instance) + "-" + strconv.FormatUint(uint64(set.Incarnation), 36) + "-",
+		members:  member.New(now),
+		links:    member.NewLinks(set.Instance, set.Incarnation),
+		holder:   permit.NewHolder(set.limits(now)),
+		granter:  permit.NewGranter(set.Zone, len(set.Peers)+1),
+		fresh:    map[member.Key]proto.Announce{},
+		idle:     map[member.Key][]*wire{},
+		services: map[string]*service{},
+		urges:    map[model.Zone]chan struct{}{},
+		drained:  make(chan struct{}),
+	}
+	for _, zone := range e.zones() {
+		e.urges[zone] = make(chan struct{}, 1)
+	}
+	return e, nil
+}
+
+// zones returns the zones with whose granters credits are renewed.
+func (e *Entry) zones() []model.Zone {
+	return append([]model.Zone{e.set.Zone}, e.set.Others...)
 }
 
 // Handler serves the path /s/{service}/{path}.
--- a/vbridged/entry/lease.go
+++ b/vbridged/entry/lease.go
@@ -133,6 +133,7 @@
 	whole bool // the whole answer was read
 	reuse bool // the connection can carry another request
 	good  bool // the answer isn't an error of the server
+	quit  bool // it ended for no fault of the server
 }
 
 // release returns the permit and the connection of an attempt.
@@ -154,7 +155,6 @@
 		e.shut(now, l.wire, c.until+max(0, c.until-now).Percent(permit.DriftPercent))
 	}
 	e.noteEnd(now, c, l, end)
-	e.pump(now)
 }
 
 // problem describes a failed attempt.
--- a/vbridged/entry/records.go
+++ b/vbridged/entry/records.go
@@ -19,7 +19,7 @@
 	now := e.ports.Clock.Now()
 	res, err := e.ports.Records.Begin(ctx, c.owner(), Begin{Key: c.key, Token: c.token, Limit: c.until - now})
 	if err != nil {
-		e.release(c, l, ending{})
+		e.release(c, l, ending{quit: true})
 		e.refuse(w, c, c.problem(http.StatusServiceUnavailable, "no record", err))
 		return true
 	}
@@ -30,11 +30,11 @@
 		return false
 	case once.Abort:
 		c.began = true
-		e.release(c, l, ending{})
+		e.release(c, l, ending{quit: true})
 		e.abort(c)
 		e.refuse(w, c, c.problem(http.StatusServiceUnavailable, "deadline passed before dispatch", nil))
 	case once.Reply:
-		e.release(c, l, ending{})
+		e.release(c, l, ending{quit: true})
 		e.replay(w, r, c, act)
 	}
 	return true
--- a/vbridged/entry/run.go
+++ b/vbridged/entry/run.go
@@ -18,7 +18,7 @@
 func (e *Entry) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for _, zone := range append([]model.Zone{e.set.Zone}, e.set.Others...) {
+	for _, zone := range e.zones() {
 		wait.Go(func() { e.renewals(ctx, zone) })
 	}
 	tick := time.NewTicker(TickTime.Std())
@@ -46,6 +46,7 @@
 	e.step(now, member.Tick{})
 	e.holder.Forget(now, forgetTime)
 	e.sweep(now)
+	e.tickServices(now)
 	e.pump(now)
 	if len(e.fresh) == 0 && !beacon {
 		return
@@ -68,10 +69,14 @@
 	defer tick.Stop()
 	for {
 		e.renew(ctx, zone)
+		if !sleep(ctx, urgePause.Std()) {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-e.urges[zone]:
 		}
 	}
 }
@@ -79,27 +84,13 @@
 func (e *Entry) renew(ctx context.Context, zone model.Zone) {
 	ctx, cancel := context.WithTimeout(ctx, permit.RenewTime.Std())
 	defer cancel()
-	e.mu.Lock()
-	now := e.ports.Clock.Now()
-	needs := e.needs(now, zone)
-	if zone != e.set.Zone && len(needs) == 0 && e.holder.Idle(now, zone) {
-		e.mu.Unlock()
+	r, ok := e.request(zone)
+	if !ok {
 		return
 	}
-	r := e.holder.Renew(now, zone, needs)
-	e.mu.Unlock()
-	a, err := e.ports.Granter.Renew(ctx, zone, r)
-	if err != nil {
-		e.metrics.renewals.WithLabelValues("failed").Inc()
-		return
+	result := "failed"
+	if a, err := e.ports.Granter.Renew(ctx, zone, r); err == nil {
+		result = e.apply(zone, r, a)
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now = e.ports.Clock.Now()
-	if !e.holder.Apply(now, zone, a) {
-		e.metrics.renewals.WithLabelValues("dropped").Inc()
-		return
-	}
-	e.metrics.renewals.WithLabelValues("applied").Inc()
-	e.pump(now)
+	e.metrics.renewals.WithLabelValues(result).Inc()
 }
--- a/vbridged/entry/serve.go
+++ b/vbridged/entry/serve.go
@@ -35,6 +35,7 @@
 	defer e.leave()
 	ctx, cancel := context.WithTimeout(r.Context(), (c.until - now).Std())
 	defer cancel()
+	e.count(c)
 	body := newBody(w, r, e.set.BodySize)
 	e.run(ctx, w, r, c, body)
 }
@@ -70,11 +71,22 @@
 	}
 }
 
+// count adds a request to the retry budget of its service.
+func (e *Entry) count(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.service(c.service).budget.Request(c.limits())
+}
+
+func (c *call) limits() retry.Limits {
+	return retry.Limits{Percent: c.route.Retries, Attempts: c.route.Attempts}
+}
+
 func (e *Entry) decide(c *call, b *body, left clock.Millis) retry.Verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.budget(c.service).Decide(
-		retry.Limits{Percent: c.route.Retries, Attempts: c.route.Attempts},
+	return e.service(c.service).budget.Decide(
+		c.limits(),
 		retry.Attempt{Number: c.tries, Sent: c.touched, Idempotent: c.idempotent, Intact: b.intact(), Left: left},
 	)
 }
