Count control cost by the daemon's metric of bytes; fit the demo to the daemon

The report read a metric that the daemon does not have and printed 0 B. A zone's job of a service states the zone's number of tasks; the check of the promise accepted compared the two running tasks of a zone with the six of the cell. The demo waits 6 s before its requests: a new granter of permits gives nothing until earlier grants have ended.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -165,7 +165,8 @@
   done
 }
 
-sleep 2 # backend servers get their first requests after two announcements
+# A new granter of permits waits until earlier grants have ended, about 5 s.
+sleep 6
 log "sending requests"
 call base portal --count 400 --rate 100 --workers 32 --seed 1
 finish base
--- a/vbridged/sched/config.go
+++ b/vbridged/sched/config.go
@@ -67,6 +67,7 @@
 	if count == 0 {
 		return // dropServices ends what an earlier configuration started
 	}
+	s.Base = s.WithCount(count) // the job is this zone's part of the service
 	box := model.NewBox(s)
 	l.options.State.View(func(z *state.Zone) {
 		job, ok := z.Job(id)
--- a/vbstand/report/cost.go
+++ b/vbstand/report/cost.go
@@ -5,7 +5,6 @@
 	"io"
 	"os"
 	"path/filepath"
-	"strings"
 
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
@@ -17,8 +16,9 @@
 // Names in the metrics of the daemon.
 const (
 	metricCPU   = "process_cpu_seconds_total"
-	metricBytes = "vbridged_peer_bytes_total"
-	labelCross  = "cross"
+	metricBytes = "vanillabridge_peer_bytes_total"
+	labelCross  = "across"
+	labelWay    = "direction"
 )
 
 // cost is what the instances used together.
@@ -90,7 +90,10 @@
 		c.cpu += m.GetCounter().GetValue()
 	}
 	for _, m := range families[metricBytes].GetMetric() {
-		if isCross(m) {
+		if label(m, labelWay) != "sent" {
+			continue // what one instance receives, another has sent
+		}
+		if label(m, labelCross) == "true" {
 			c.cross += m.GetCounter().GetValue()
 		} else {
 			c.local += m.GetCounter().GetValue()
@@ -99,11 +102,11 @@
 	return nil
 }
 
-func isCross(m *dto.Metric) bool {
+func label(m *dto.Metric, name string) string {
 	for _, l := range m.GetLabel() {
-		if l.GetName() == labelCross {
-			return strings.EqualFold(l.GetValue(), "true")
+		if l.GetName() == name {
+			return l.GetValue()
 		}
 	}
-	return false
+	return ""
 }
