--- /dev/null
+++ b/core/state/bench_test.go
@@ -0,0 +1,144 @@
+package state_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+	"vanillabridge/core/once"
+	"vanillabridge/core/state"
+)
+
+// tasksPerJob is near the 250,000 jobs a day of the two-year size with 470,000 tasks running.
+const tasksPerJob = 20
+
+// filled returns a zone with n assigned tasks.
+func filled(b *testing.B, n int) *state.Zone {
+	b.Helper()
+	zone := state.NewZone()
+	for i := 0; i < n/tasksPerJob; i++ {
+		id := model.NewJobID(fmt.Sprintf("job-%d", i), "r")
+		work := model.Batch{Base: model.Base{Name: string(id), Team: "team", Zones: []model.Zone{"zone-a"}, Count: tasksPerJob}, Run: "r"}
+		zone.Apply(state.AddJob{Job: id, Work: model.NewBox(work), Count: tasksPerJob})
+		items := make([]state.Assignment, tasksPerJob)
+		for k := range items {
+			items[k] = state.Assignment{
+				Task: model.TaskID{Job: id, Index: k}, Attempt: 1,
+				Worker: model.WorkerID(fmt.Sprintf("worker-%d", (i*tasksPerJob+k)%640)), Incarnation: 1,
+			}
+		}
+		zone.Apply(state.Assign{Items: items})
+	}
+	return zone
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkZoneSnapshot measures the time, bytes and memory of a zone's state by tasks.
+func BenchmarkZoneSnapshot(b *testing.B) {
+	for _, n := range []int{1_000, 12_400, 124_000} {
+		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
+			before := heap()
+			zone := filled(b, n)
+			perTask := float64(heap()-before) / float64(n)
+			var size int
+			for b.Loop() {
+				data, err := zone.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(perTask, "heapB/task")
+			b.ReportMetric(float64(size)/float64(n), "snapB/task")
+		})
+	}
+}
+
+// BenchmarkZoneRestore measures the time to read a snapshot.
+func BenchmarkZoneRestore(b *testing.B) {
+	for _, n := range []int{1_000, 12_400, 124_000} {
+		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
+			data, err := filled(b, n).Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if err := state.NewZone().Restore(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkZoneLife measures the commands of one task: assigned, started and ended, encoded
+// and applied as from the log, in batches of 32.
+func BenchmarkZoneLife(b *testing.B) {
+	const batch = 32
+	zone := state.NewZone()
+	work := model.NewBox(model.Batch{Base: model.Base{Name: "job", Count: batch}, Run: "r"})
+	bytes, tasks := 0, 0
+	for i := 0; b.Loop(); i++ {
+		id := model.NewJobID("job", fmt.Sprint(i))
+		var assigns []state.Assignment
+		var starts []state.TaskStart
+		var ends []state.TaskEnd
+		for k := range batch {
+			task := model.TaskID{Job: id, Index: k}
+			assigns = append(assigns, state.Assignment{Task: task, Attempt: 1, Worker: "worker-100", Incarnation: 1 << 60})
+			starts = append(starts, state.TaskStart{Task: task, Attempt: 1})
+			ends = append(ends, state.TaskEnd{Task: task, Attempt: 1, Next: "done"})
+		}
+		for _, c := range []state.Command{
+			state.AddJob{Job: id, Work: work, Count: batch},
+			state.Assign{Items: assigns},
+			state.Start{Items: starts},
+			state.Finish{Items: ends},
+			state.Expire{At: 48 * clock.Hour},
+		} {
+			bytes += applyEncoded(b, zone, c)
+		}
+		tasks += batch
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(tasks), "ns/task")
+	b.ReportMetric(float64(bytes)/float64(tasks), "logB/task")
+}
+
+func applyEncoded(b *testing.B, zone *state.Zone, c state.Command) int {
+	data, err := state.EncodeCommand(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	decoded, err := state.DecodeCommand(data)
+	if err != nil {
+		b.Fatal(err)
+	}
+	zone.Apply(decoded)
+	return len(data)
+}
+
+// BenchmarkRecords measures the memory of the records of non-idempotent requests with an
+// answer of 500 bytes.
+func BenchmarkRecords(b *testing.B) {
+	const n = 100_000
+	for b.Loop() {
+		before := heap()
+		zone := state.NewZone()
+		for i := range n {
+			key := once.Key{Caller: "caller", Key: fmt.Sprintf("zone-a:%032d", i)}
+			token := once.Token{Instance: "entry1", Incarnation: 1, Number: uint64(i)}
+			zone.Apply(state.OpenRecord{Key: key, Token: token, Limit: clock.Second})
+			zone.Apply(state.CloseRecord{Key: key, Token: token, Answer: once.Answer{Status: 200, Body: make([]byte, 500)}})
+		}
+		b.ReportMetric(float64(heap()-before)/n, "heapB/record")
+		runtime.KeepAlive(zone)
+	}
+}
