Test the replicated log under faults and repair it in another order

Cause: the protocol had no proof. A simulated world now drives replicas with loss, delay, duplication, reordering, partitions, pauses, crashes that keep a prefix of unsynced writes, lost disks, clock drift and membership changes, and checks one leader per term, log agreement, leader completeness, reads, and recovery once the faults end.

--- a/core/quorum/config.go
+++ b/core/quorum/config.go
@@ -125,9 +125,6 @@
 	return c.Peers[i], true
 }
 
-// target is the number of voters that the leader maintains.
-func (c Config) target() int { return max(1, len(c.Founders)) }
-
 // Restored is what the store holds at start.
 type Restored struct {
 	Hard    Hard
--- a/core/quorum/member.go
+++ b/core/quorum/member.go
@@ -74,7 +74,7 @@
 }
 
 func (n *Node) nextMembers() (Membership, bool) {
-	for _, step := range []func() (Membership, bool){n.addLearner, n.removeVoter, n.promote} {
+	for _, step := range []func() (Membership, bool){n.addLearner, n.promote, n.removeVoter} {
 		if m, ok := step(); ok {
 			return m, true
 		}
@@ -120,110 +120,94 @@
 	return best, !best.IsZero()
 }
 
-// removeVoter ends a replacement: the voter that was replaced loses its vote.
-func (n *Node) removeVoter() (Membership, bool) {
-	members := n.members()
-	if len(members.Voters()) <= n.cfg.target() {
-		return nil, false
-	}
-	out, ok := n.worst(members)
-	if !ok {
-		return nil, false
-	}
-	next := members.Without(out.ID)
-	if !n.superseded(out) {
-		out.Voter = false
-		next = next.With(out)
-	}
-	return next, n.sound(next)
+// place is what a voter stands for: the first membership fixes how many voters each place has.
+type place struct {
+	zone    model.Zone
+	witness bool
 }
 
-// worst picks a voter to remove: one with a newer identity, then a silent one, then any other.
-func (n *Node) worst(members Membership) (Member, bool) {
-	var silent, other Member
-	for _, m := range members {
-		if !m.Voter || m.ID == n.cfg.Self {
-			continue
-		}
-		switch {
-		case n.superseded(m):
-			return m, true
-		case n.silent(m) && silent.ID.IsZero():
-			silent = m
-		case other.ID.IsZero() || n.peers[m.ID].match < n.peers[other.ID].match:
-			other = m
+func (m Member) place() place { return place{m.Zone, m.Witness} }
+
+// missing returns how many voters a place lacks; it is negative if there are too many.
+func (n *Node) missing(at place) int {
+	count := 0
+	for _, f := range n.cfg.Founders {
+		if p, _ := n.cfg.peer(f); (place{p.Zone, p.Witness}) == at {
+			count++
 		}
 	}
-	if !silent.ID.IsZero() {
-		return silent, true
+	for _, m := range n.members() {
+		if m.Voter && m.place() == at {
+			count--
+		}
 	}
-	return other, !other.ID.IsZero()
+	return count
 }
 
-// promote gives a vote to a learner that is caught up, if a voter is missing or lost.
+// promote gives a vote to a learner that is caught up, where a voter is missing.
 func (n *Node) promote() (Membership, bool) {
 	members := n.members()
 	for _, l := range members {
-		if l.Voter || !n.caughtUp(l.ID) || !n.wanted(members, l) {
+		if l.Voter || !n.caughtUp(l.ID) || n.missing(l.place()) <= 0 {
 			continue
 		}
 		l.Voter = true
-		next := members.With(l)
-		if n.sound(next) {
+		if next := members.With(l); n.sound(next) {
 			return next, true
 		}
 	}
 	return nil, false
 }
 
-// wanted reports whether a learner should replace a voter or fill a free place.
-func (n *Node) wanted(members Membership, l Member) bool {
-	voters := len(members.Voters())
-	if voters < n.cfg.target() {
-		return true
-	}
-	if voters > n.cfg.target() {
-		return false
-	}
+// removeVoter takes the vote of a voter that is lost and can be replaced, or of one too many.
+//
+// The lost voter goes before its replacement comes: with both, the replacement's loss would
+// leave two lost voters of four. The others must be alive in either order.
+func (n *Node) removeVoter() (Membership, bool) {
+	members := n.members()
 	for _, v := range members {
-		if !v.Voter || v.ID == n.cfg.Self {
+		if !v.Voter || v.ID == n.cfg.Self || (n.missing(v.place()) >= 0 && !n.replaceable(v)) {
 			continue
 		}
-		if v.ID.Name == l.ID.Name {
-			return true
+		next := members.Without(v.ID)
+		if !n.superseded(v) {
+			// It may have been cut off and comes back with its disk.
+			v.Voter = false
+			next = next.With(v)
 		}
-		if n.silent(v) && v.Zone == l.Zone && v.Witness == l.Witness && !n.waiting(v.ID.Name) {
-			return true
+		if n.sound(next) {
+			return next, true
 		}
 	}
-	return false
+	return nil, false
 }
 
-// waiting reports whether a new life of the instance is a learner that will take the place.
-func (n *Node) waiting(name model.Instance) bool {
-	for _, m := range n.members() {
-		if !m.Voter && m.ID.Name == name && n.alive(m.ID) {
+// replaceable reports whether a voter is lost and a learner can take its place.
+func (n *Node) replaceable(v Member) bool {
+	if n.alive(v.ID) {
+		return false
+	}
+	for _, l := range n.members() {
+		if l.Voter || l.place() != v.place() || !n.caughtUp(l.ID) {
+			continue
+		}
+		if l.ID.Name == v.ID.Name || n.silent(v) {
 			return true
 		}
 	}
 	return false
 }
 
+// superseded reports whether the instance of a voter came back under another identity.
 func (n *Node) superseded(v Member) bool {
 	for _, m := range n.members() {
-		if m.Voter && m.ID.Name == v.ID.Name && m.ID != v.ID {
-			return n.silent(v) || m.ID == n.cfg.Self || n.newer(m.ID, v.ID)
+		if m.ID.Name == v.ID.Name && m.ID != v.ID {
+			return true
 		}
 	}
 	return false
 }
 
-// newer reports whether a answered more recently than b.
-func (n *Node) newer(a, b ID) bool {
-	pa, pb := n.peers[a], n.peers[b]
-	return pa != nil && (pb == nil || pa.sentAcked > pb.sentAcked)
-}
-
 func (n *Node) silent(m Member) bool {
 	p := n.peers[m.ID]
 	if p == nil {
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -81,7 +81,7 @@
 		return nil, err
 	}
 	// A restarted replica does not know when it last confirmed a leader's lease.
-	n.promise, n.heard = !r.empty(), now
+	n.promise, n.heard = r.Hard.Term > 0, now
 	n.founding.start()
 	n.resetDeadline()
 	return n, nil
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -35,6 +35,7 @@
 	p.next = max(p.next, p.match+1)
 	p.flight = slices.DeleteFunc(p.flight, func(last uint64) bool { return last <= p.match })
 	p.probing, p.paused = false, false
+	p.transfer = nil
 }
 
 // rejected notes that the logs do not agree at index and may at hint.
--- a/core/quorum/snapshot.go
+++ b/core/quorum/snapshot.go
@@ -38,9 +38,10 @@
 	n.out = append(n.out, Load{To: id, Offset: p.transfer.offset, Limit: uint64(n.cfg.Limits.Chunk)})
 }
 
-// retryTransfer repeats a chunk that was not answered for an election timeout.
+// retryTransfer repeats a chunk that was not answered, before the follower
+// misses its leader.
 func (n *Node) retryTransfer(id ID, p *progress) {
-	if p.transfer != nil && n.now-p.transfer.asked >= n.cfg.Timing.Election {
+	if p.transfer != nil && n.now-p.transfer.asked >= 2*n.cfg.Timing.Heartbeat {
 		n.load(id, p)
 	}
 }
--- /dev/null
+++ b/core/quorum/world_test.go
@@ -0,0 +1,425 @@
+package quorum
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+)
+
+// failer is the part of testing.T and rapid.T that the simulated world needs.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// event is something that happens at an instant of true time.
+type event struct {
+	at  clock.Millis
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// network holds the faults of the links, in percent and milliseconds.
+type network struct {
+	loss, dup int
+	delay     clock.Millis
+	parts     map[model.Instance]int
+}
+
+// world simulates replicas, their disks, clocks and network, and checks safety as it goes.
+type world struct {
+	t      failer
+	rng    *rand.Rand
+	now    clock.Millis
+	queue  events
+	seq    int
+	peers  []Peer
+	voters []model.Instance
+	timing Timing
+	limits Limits
+	// fsync is the longest time that a sync takes.
+	fsync clock.Millis
+	every uint64
+	net   network
+	nodes []*replica
+	// bounded says that all clocks stay within the drift bound, so that lease reads must hold.
+	bounded bool
+
+	leaders   map[uint64]ID
+	committed []Entry
+	reads     map[uint64]uint64
+	answered  int
+	proposals uint64
+	incs      uint64
+	bytes     map[model.Instance]int
+	sent      map[Kind]int
+}
+
+// replica is one instance in its present life.
+type replica struct {
+	w      *world
+	name   model.Instance
+	inc    model.Incarnation
+	node   *Node
+	gen    int
+	paused bool
+	backup []func()
+	rate   float64
+	offset clock.Millis
+	// pending is what was written but not synced.
+	pending []Persist
+	disk    durable
+	applied uint64
+	boot    bool
+}
+
+// durable is the content of a disk.
+type durable struct {
+	hard    Hard
+	snap    Snapshot
+	entries []Entry
+}
+
+func newWorld(t failer, seed uint64, peers []Peer, voters int) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), peers: peers, timing: DefaultTiming(),
+		limits: Limits{Message: 200, Window: 4, Pending: 1 << 20, Chunk: 64, Snapshot: 1 << 20, Trail: 3, Lag: 4},
+		fsync:  20, every: 8, bounded: true,
+		net:     network{delay: 5},
+		leaders: map[uint64]ID{}, reads: map[uint64]uint64{}, bytes: map[model.Instance]int{}, sent: map[Kind]int{},
+	}
+	for _, p := range peers[:voters] {
+		w.voters = append(w.voters, p.Name)
+	}
+	for _, p := range peers {
+		r := &replica{w: w, name: p.Name, rate: 1, boot: true}
+		r.offset = clock.Millis(w.rng.IntN(1_000_000))
+		w.nodes = append(w.nodes, r)
+		r.erase()
+		r.start()
+	}
+	return w
+}
+
+func plain(names ...model.Instance) []Peer {
+	var out []Peer
+	for _, n := range names {
+		out = append(out, Peer{Name: n, Zone: "z"})
+	}
+	return out
+}
+
+func (w *world) after(d clock.Millis, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, do})
+}
+
+func (w *world) run(d clock.Millis) {
+	end := w.now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) at(name model.Instance) *replica {
+	i := slices.IndexFunc(w.nodes, func(r *replica) bool { return r.name == name })
+	return w.nodes[i]
+}
+
+// leader returns the live leader with the highest term, or nil.
+func (w *world) leader() *replica {
+	var best *replica
+	for _, r := range w.nodes {
+		if r.node != nil && !r.paused && r.node.role == leader && (best == nil || r.node.hard.Term > best.node.hard.Term) {
+			best = r
+		}
+	}
+	return best
+}
+
+func (w *world) mustLead(within clock.Millis) *replica {
+	w.t.Helper()
+	for end := w.now + within; w.now < end; w.run(10) {
+		if l := w.leader(); l != nil && l.node.commit >= l.node.lead.first {
+			return l
+		}
+	}
+	w.t.Fatalf("no leader within %v:\n%s", within, w.dump())
+	return nil
+}
+
+// dump describes all replicas.
+func (w *world) dump() string {
+	var b strings.Builder
+	for _, r := range w.nodes {
+		fmt.Fprintf(&b, "%s#%d boot %t", r.name, r.inc, r.boot)
+		if n := r.node; n != nil {
+			fmt.Fprintf(&b, " role %d known %s term %d found %x log %d..%d commit %d applied %d voters %v learners %v",
+				n.role, n.known, n.hard.Term, n.hard.Found, n.log.base, n.log.last(), n.commit, n.applied, n.voters(), n.members().Learners())
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+func (w *world) send(from *replica, s Send) {
+	w.sent[s.Message.Kind]++
+	b, err := s.Message.Encode()
+	if err != nil {
+		w.t.Fatalf("encode: %v", err)
+	}
+	w.bytes[s.To] += len(b)
+	m, err := Decode(b)
+	if err != nil {
+		w.t.Fatalf("%s sent a message that does not decode: %v", from.name, err)
+	}
+	copies := 1
+	if w.rng.IntN(100) < w.net.dup {
+		copies++
+	}
+	for range copies {
+		if w.rng.IntN(100) < w.net.loss {
+			continue
+		}
+		w.after(1+clock.Millis(w.rng.Int64N(int64(w.net.delay))), func() {
+			if w.net.parts[from.name] == w.net.parts[s.To] {
+				w.at(s.To).feed(Receive{m})
+			}
+		})
+	}
+}
+
+func (r *replica) clock() clock.Millis {
+	return r.offset + clock.Millis(float64(r.w.now)*r.rate)
+}
+
+// setRate changes how fast the clock runs, without a jump.
+func (r *replica) setRate(rate float64) {
+	r.offset += clock.Millis(float64(r.w.now) * (r.rate - rate))
+	r.rate = rate
+}
+
+// erase puts an empty disk under a new life.
+func (r *replica) erase() {
+	r.w.incs++
+	r.inc = model.Incarnation(r.w.incs)
+	r.disk = durable{}
+}
+
+func (r *replica) start() {
+	cfg := Config{
+		Group: "g", Self: NewID(r.name, r.inc), Peers: r.w.peers, Founders: r.w.voters, Boot: r.boot,
+		Timing: r.w.timing, Limits: r.w.limits, Seed: r.w.rng.Uint64(),
+	}
+	d := r.disk
+	entries := slices.DeleteFunc(slices.Clone(d.entries), func(e Entry) bool { return e.Index <= d.snap.Meta.Index })
+	n, err := New(r.clock(), cfg, Restored{Hard: d.hard, Meta: d.snap.Meta, Entries: entries})
+	if err != nil {
+		r.w.t.Fatalf("start %s: %v", r.name, err)
+	}
+	r.node, r.paused, r.applied, r.pending = n, false, d.snap.Meta.Index, nil
+	r.gen++
+	r.tick(r.gen)
+}
+
+func (r *replica) tick(gen int) {
+	r.w.after(1+clock.Millis(r.w.rng.IntN(50)), func() {
+		if r.gen == gen {
+			r.feed(Tick{})
+			r.tick(gen)
+		}
+	})
+}
+
+// crash ends the process; a prefix of what was written but not synced survives.
+func (r *replica) crash(survive int) {
+	for _, p := range r.pending[:min(survive, len(r.pending))] {
+		r.disk.write(p)
+	}
+	r.node, r.pending, r.backup, r.paused = nil, nil, nil, false
+	r.gen++
+}
+
+func (r *replica) pause() { r.paused = r.node != nil }
+
+func (r *replica) resume() {
+	r.paused = false
+	waiting := r.backup
+	r.backup = nil
+	for _, do := range waiting {
+		do()
+	}
+}
+
+// feed steps the node, or does so when it is resumed.
+func (r *replica) feed(in Input) {
+	gen := r.gen
+	do := func() {
+		if r.gen == gen && r.node != nil {
+			r.perform(r.node.Step(r.clock(), in))
+		}
+	}
+	if r.paused {
+		r.backup = append(r.backup, do)
+		return
+	}
+	do()
+}
+
+func (r *replica) perform(out []Output) {
+	for _, o := range out {
+		switch o := o.(type) {
+		case Send:
+			r.w.send(r, o)
+		case Persist:
+			r.pending = append(r.pending, o)
+			r.later(1+clock.Millis(r.w.rng.Int64N(int64(r.w.fsync))), func() { r.sync(o.Seq) })
+		case Apply:
+			r.apply(o.Entries)
+		case Install:
+			r.install(o.Snapshot)
+		case Role:
+			r.w.lead(r, o)
+		case Ready:
+			r.w.checkRead(r, o)
+		case Load:
+			r.later(1, func() { r.feed(Loaded{To: o.To, Chunk: r.disk.chunk(o)}) })
+		}
+	}
+}
+
+func (r *replica) later(d clock.Millis, do func()) {
+	gen := r.gen
+	r.w.after(d, func() {
+		if r.gen == gen {
+			do()
+		}
+	})
+}
+
+// sync makes everything up to a Persist durable.
+func (r *replica) sync(seq uint64) {
+	for len(r.pending) > 0 && r.pending[0].Seq <= seq {
+		r.disk.write(r.pending[0])
+		r.pending = r.pending[1:]
+	}
+	r.feed(Persisted{seq})
+}
+
+func (d *durable) write(p Persist) {
+	d.hard = p.Hard
+	if p.Snapshot != nil {
+		d.snap, d.entries = *p.Snapshot, nil
+	}
+	if len(p.Entries) > 0 {
+		at := p.Entries[0].Index
+		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e Entry) bool { return e.Index >= at })
+		d.entries = append(d.entries, p.Entries...)
+	}
+}
+
+func (d *durable) chunk(l Load) Chunk {
+	size := uint64(len(d.snap.Data))
+	off := min(l.Offset, size)
+	return Chunk{Meta: d.snap.Meta, Offset: off, Size: size, Sum: Checksum(d.snap.Data), Data: d.snap.Data[off:min(size, off+l.Limit)]}
+}
+
+// apply checks agreement with all other replicas and takes snapshots.
+func (r *replica) apply(entries []Entry) {
+	w := r.w
+	for _, e := range entries {
+		if e.Index != r.applied+1 {
+			w.t.Fatalf("%s applies index %d after %d", r.name, e.Index, r.applied)
+		}
+		r.applied = e.Index
+		if e.Index > uint64(len(w.committed)) {
+			w.committed = append(w.committed, e)
+		}
+		c := w.committed[e.Index-1]
+		if c.Term != e.Term || c.Kind != e.Kind || !bytes.Equal(c.Data, e.Data) {
+			w.t.Fatalf("%s applies %q of term %d at index %d, where %q of term %d is committed", r.name, e.Data, e.Term, e.Index, c.Data, c.Term)
+		}
+	}
+	meta, ok := r.node.MetaAt(r.applied)
+	if !ok || r.applied < r.disk.snap.Meta.Index+w.every {
+		return
+	}
+	s := Snapshot{Meta: meta, Data: bytes.Repeat([]byte(fmt.Sprintf("%08d", r.applied)), 20)}
+	r.later(5, func() {
+		if s.Meta.Index > r.disk.snap.Meta.Index {
+			r.disk.snap = s
+			r.feed(Snapshotted{s.Meta})
+		}
+	})
+}
+
+func (r *replica) install(s Snapshot) {
+	if want := fmt.Sprintf("%08d", s.Meta.Index); len(s.Data) != 160 || string(s.Data[152:]) != want {
+		r.w.t.Fatalf("%s installs a snapshot of index %d with content %q", r.name, s.Meta.Index, s.Data)
+	}
+	if s.Meta.Index > uint64(len(r.w.committed)) || r.w.committed[s.Meta.Index-1].Term != s.Meta.Term {
+		r.w.t.Fatalf("%s installs a snapshot of index %d that is not committed", r.name, s.Meta.Index)
+	}
+	r.applied = s.Meta.Index
+}
+
+// lead checks that a term has one leader, and that it holds everything that is committed.
+func (w *world) lead(r *replica, o Role) {
+	if !o.Leader {
+		return
+	}
+	if old, ok := w.leaders[o.Term]; ok && old != r.node.cfg.Self {
+		w.t.Fatalf("term %d has leaders %s and %s", o.Term, old, r.node.cfg.Self)
+	}
+	w.leaders[o.Term] = r.node.cfg.Self
+	for _, e := range w.committed {
+		if e.Index < r.node.log.base {
+			continue
+		}
+		if term, ok := r.node.log.term(e.Index); !ok || term != e.Term {
+			w.t.Fatalf("%s leads term %d without committed entry %d of term %d", r.name, o.Term, e.Index, e.Term)
+		}
+	}
+}
+
+func (w *world) read(r *replica) {
+	w.proposals++
+	w.reads[w.proposals] = uint64(len(w.committed))
+	r.feed(Read{w.proposals})
+}
+
+// checkRead checks that a read sees all that any replica had applied when it was asked.
+func (w *world) checkRead(r *replica, o Ready) {
+	w.answered++
+	if floor := w.reads[o.ID]; w.bounded && o.Index < floor {
+		w.t.Fatalf("%s answers a read with index %d, but %d was committed before:\n%s", r.name, o.Index, floor, w.dump())
+	}
+}
+
+func (w *world) propose(r *replica) {
+	w.proposals++
+	r.feed(Propose{[]Proposal{{ID: w.proposals, Data: []byte(fmt.Sprintf("p%d", w.proposals))}}})
+}
