--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -40,67 +40,73 @@
 // and which workers have surely lost their lease. It is not safe for concurrent use.
 type Keeper struct {
 	epoch   model.Epoch
-	workers map[model.WorkerID]*life
-	dead    map[model.WorkerID][]model.Incarnation
+	workers map[model.WorkerID]*record
 }
 
-type life struct {
-	incarnation model.Incarnation
-	seq         uint64
-	answered    clock.Millis
+// record is what is known of a worker. Its lives are listed in the order in which they were first
+// heard of. A life that is heard of after a later one of the same worker is dead already; it gets
+// no answer and hence never carries this epoch. So every life before the present one is over.
+type record struct {
+	lives    []model.Incarnation
+	present  int // index of the present life; -1 if none is proved
+	seq      uint64
+	answered clock.Millis
+	leased   bool
 }
 
 // NewKeeper returns a Keeper without workers for the leader of the epoch.
 func NewKeeper(epoch model.Epoch) *Keeper {
-	return &Keeper{
-		epoch:   epoch,
-		workers: make(map[model.WorkerID]*life),
-		dead:    make(map[model.WorkerID][]model.Incarnation),
-	}
+	return &Keeper{epoch: epoch, workers: make(map[model.WorkerID]*record)}
 }
 
 // Restore adds a worker that holds tasks according to durable state. A new leader calls it at its
 // election, because the last leader may have answered the worker until then.
 func (k *Keeper) Restore(now clock.Millis, w model.WorkerID, incarnation model.Incarnation) {
-	k.workers[w] = &life{incarnation: incarnation, answered: now}
+	k.workers[w] = &record{lives: []model.Incarnation{incarnation}, answered: now, leased: true}
 }
 
 // Receive judges a request.
 func (k *Keeper) Receive(now clock.Millis, req proto.SyncRequest) Verdict {
-	if req.Epoch > k.epoch || slices.Contains(k.dead[req.Worker], req.Incarnation) {
+	if req.Epoch > k.epoch {
 		return Stale
 	}
-	l, ok := k.workers[req.Worker]
+	r, ok := k.workers[req.Worker]
+	if !ok {
+		r = &record{present: -1}
+		k.workers[req.Worker] = r
+	}
+	at := slices.Index(r.lives, req.Incarnation)
 	switch {
-	case ok && l.incarnation == req.Incarnation:
-		if req.Seq <= l.seq {
-			return Stale
-		}
-		l.seq = req.Seq
-		return Current
-	case req.Epoch != k.epoch:
+	case at < 0:
+		r.lives = append(r.lives, req.Incarnation)
 		return Greet
-	case ok:
-		k.dead[req.Worker] = append(k.dead[req.Worker], l.incarnation)
+	case at < r.present, at == r.present && req.Seq <= r.seq:
+		return Stale
+	case at > r.present && req.Epoch != k.epoch:
+		return Greet
+	}
+	if !r.leased || at != r.present {
+		r.leased, r.answered = true, now
 	}
-	k.workers[req.Worker] = &life{incarnation: req.Incarnation, seq: req.Seq, answered: now}
+	r.present, r.seq = at, req.Seq
 	return Current
 }
 
 // Answered notes that an answer with tasks is sent to the worker.
 func (k *Keeper) Answered(now clock.Millis, w model.WorkerID) {
-	if l, ok := k.workers[w]; ok {
-		l.answered = now
+	if r, ok := k.workers[w]; ok {
+		r.answered = now
 	}
 }
 
-// Gone returns and forgets the workers whose lease has surely ended.
+// Gone returns the workers whose lease has surely ended since the last call. Their lives stay
+// known, so that delayed requests of them are recognised.
 func (k *Keeper) Gone(now clock.Millis) []model.WorkerID {
 	var gone []model.WorkerID
-	for w, l := range k.workers {
-		if now-l.answered > Silence {
+	for w, r := range k.workers {
+		if r.leased && now-r.answered > Silence {
 			gone = append(gone, w)
-			delete(k.workers, w)
+			r.leased = false
 		}
 	}
 	slices.Sort(gone)
