Name the line of text that is not INI and the missing accelerator quota

Cause: the INI library gives no line number; a team without accel was shown as a quota in which the reader had to notice what is missing; size errors ended with the name of the sentinel; a dead instance delayed the timeline by the whole timeout, one after the other. Change: clearer messages; vbctl timeline reads all sources at once; the HTML page is checked for references to outside resources.

--- a/core/spec/parse.go
+++ b/core/spec/parse.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
 
@@ -24,7 +25,7 @@
 		SpaceBeforeInlineComment:   true,
 	}, []byte(text))
 	if err != nil {
-		return Document{}, Problems{{Text: "not INI text: " + err.Error()}}
+		return Document{}, Problems{{Text: lineOf(text, err) + "not INI text: " + strings.TrimSpace(err.Error())}}
 	}
 	var d Document
 	for _, s := range file.Sections() {
@@ -37,28 +38,52 @@
 	return d, nil
 }
 
+// lineOf finds the line that the library quotes at the end of its error, for which it gives no
+// number.
+func lineOf(text string, err error) string {
+	message, number := strings.TrimSpace(err.Error()), 0
+	for line := range strings.Lines(text) {
+		number++
+		if quoted := strings.TrimSpace(line); quoted != "" && strings.HasSuffix(message, ": "+quoted) {
+			return fmt.Sprintf("line %d: ", number)
+		}
+	}
+	return ""
+}
+
+// tooLarge is the error for text beyond a size limit; errors.Is finds fault.ErrTooLarge.
+type tooLarge string
+
+func (t tooLarge) Error() string { return string(t) }
+
+// Is makes errors.Is find fault.ErrTooLarge.
+func (tooLarge) Is(target error) bool { return target == fault.ErrTooLarge }
+
+func tooLargef(format string, args ...any) error { return tooLarge(fmt.Sprintf(format, args...)) }
+
 func checkText(text string) error {
 	if len(text) > MaxText {
-		return fault.Wrap(fault.ErrTooLarge, "configuration has %d bytes, limit %d", len(text), MaxText)
+		return tooLargef("configuration has %d bytes, limit %d", len(text), MaxText)
 	}
 	sections, keys, number := 0, 0, 0
 	for line := range strings.Lines(text) {
 		number++
 		if len(line) > MaxLine {
-			return fault.Wrap(fault.ErrTooLarge, "line %d has %d bytes, limit %d", number, len(line), MaxLine)
+			return tooLargef("line %d has %d bytes, limit %d", number, len(line), MaxLine)
 		}
 		keys++
 		if strings.HasPrefix(strings.TrimSpace(line), "[") {
 			sections, keys = sections+1, 0
 		}
 		if sections > MaxSections {
-			return fault.Wrap(fault.ErrTooLarge, "line %d: more than %d sections", number, MaxSections)
+			return tooLargef("line %d: more than %d sections", number, MaxSections)
 		}
 		if keys > maxLines {
-			return fault.Wrap(fault.ErrTooLarge, "line %d: more than %d lines in a section", number, maxLines)
+			return tooLargef("line %d: more than %d lines in a section", number, maxLines)
 		}
 		if i := strings.IndexFunc(line, isControl); i >= 0 {
-			return Problems{{Text: fmt.Sprintf("line %d: control character %q", number, line[i])}}
+			c, _ := utf8.DecodeRuneInString(line[i:])
+			return Problems{{Text: fmt.Sprintf("line %d: control character %q", number, c)}}
 		}
 	}
 	return nil
--- a/core/spec/rules.go
+++ b/core/spec/rules.go
@@ -119,6 +119,10 @@
 		c.problem(title, "team", "unknown team %s, want a section [team %s]", base.Team, base.Team)
 		return
 	}
+	if base.Size.Accel > quota.Accel {
+		c.problem(title, "accel", "is %d for each task, quota of team %s is %d; set accel in [team %s]", base.Size.Accel, base.Team, quota.Accel, base.Team)
+		return
+	}
 	if !base.Size.Fits(quota) {
 		c.problem(title, "", "one task needs %s, quota of team %s is %s", base.Size, base.Team, quota)
 		return
--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -139,11 +139,14 @@
 			t.Errorf("%s: error %v, want ErrTooLarge", name, err)
 		}
 	}
-	for _, text := range []string{"[team a\n", "no delimiter\n", "[a]\nb = \x00\n"} {
-		if _, err := spec.Parse(text); !errors.Is(err, fault.ErrInvalid) {
-			t.Errorf("%q: error %v, want ErrInvalid", text, err)
+	for _, text := range []string{"\n[team a\n", "\nno delimiter\n", "[a]\nb = \x00\n", "[a]\n\ufeff[b]\n"} {
+		if _, err := spec.Parse(text); !errors.Is(err, fault.ErrInvalid) || !strings.HasPrefix(err.Error(), "line 2: ") {
+			t.Errorf("%q: error %v, want ErrInvalid at line 2", text, err)
 		}
 	}
+	if d, err := spec.Parse("[cell]\r\nversion = 3\r\n"); err != nil || d.Version() != 3 {
+		t.Errorf("text with carriage returns: version %d, error %v", d.Version(), err)
+	}
 }
 
 // Guards against a name or a value that adds sections to the printed text.
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -94,6 +95,10 @@
 			t.Fatal(err)
 		}
 		golden(t, file, b.String())
+		// A page that loads something shows nothing on a machine without a way out.
+		if regexp.MustCompile(`(src|href)=|url\(|@import|<script`).MatchString(b.String()) {
+			t.Errorf("%s refers to an outside resource", file)
+		}
 	}
 }
 
--- a/vbctl/client/client.go
+++ b/vbctl/client/client.go
@@ -4,14 +4,13 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
 	"os"
 	"strings"
 	"time"
-
-	"vanillabridge/core/fault"
 )
 
 // maxAnswer bounds an answer, in bytes; the timeline of one instance is the longest.
@@ -33,7 +32,7 @@
 // New returns a client, or an error that says which option is wrong.
 func New(o Options) (*Client, error) {
 	if len(o.Servers) == 0 {
-		return nil, fault.Wrap(fault.ErrInvalid, "no server given")
+		return nil, errors.New("no server given")
 	}
 	c := &Client{}
 	for _, server := range o.Servers {
@@ -70,7 +69,7 @@
 	}
 	u, err := url.Parse(text)
 	if err != nil || u.Port() == "" || u.Hostname() == "" || (u.Scheme != "http" && u.Scheme != "https") || strings.Trim(u.Path, "/") != "" {
-		return "", fault.Wrap(fault.ErrInvalid, "server %q is not IP:port or http(s)://IP:port", server)
+		return "", fmt.Errorf("server %q is not IP:port or http(s)://IP:port", server)
 	}
 	return u.Scheme + "://" + u.Host, nil
 }
@@ -78,11 +77,11 @@
 func readPool(file string) (*x509.CertPool, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fault.Wrap(err, "read the authority file")
+		return nil, fmt.Errorf("read the authority file: %w", err)
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(text) {
-		return nil, fault.Wrap(fault.ErrInvalid, "%s holds no certificate in PEM form", file)
+		return nil, fmt.Errorf("%s holds no certificate in PEM form", file)
 	}
 	return pool, nil
 }
--- a/vbctl/root.go
+++ b/vbctl/root.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -102,16 +101,11 @@
 	}
 	c, err := client.New(client.Options{Servers: a.servers, Timeout: a.timeout, Authority: a.authority})
 	if err != nil {
-		return nil, usage("%v", firstLine(err))
+		return nil, usage("%v", err)
 	}
 	return c, nil
 }
 
-func firstLine(err error) string {
-	line, _, _ := strings.Cut(err.Error(), ", cause:")
-	return line
-}
-
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/vbctl/timeline.go
+++ b/vbctl/timeline.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"os"
+	"sync"
 
 	"github.com/spf13/cobra"
 
@@ -106,41 +108,78 @@
 	if len(a.servers)+len(f.files) == 0 {
 		return usage("timeline needs --server or --file")
 	}
-	var lists [][]trace.Entry
-	for _, file := range f.files {
-		lists = a.gather(lists, file, func() ([]byte, error) { return os.ReadFile(file) })
-	}
-	if len(a.servers) > 0 {
-		c, err := a.client()
-		if err != nil {
-			return err
-		}
-		for _, base := range c.Servers() {
-			request := client.Request{Method: http.MethodGet, Path: "/v1/events", Query: filter.Query()}
-			lists = a.gather(lists, base, func() ([]byte, error) {
-				var text []byte
-				return text, c.At(base).Do(ctx, request, &text)
-			})
-		}
+	sources, err := a.sources(ctx, f.files, filter)
+	if err != nil {
+		return err
 	}
+	lists := a.gather(sources)
 	if len(lists) == 0 {
 		return failed("no source of events could be read")
 	}
 	return write(a.out, filter.Apply(trace.Merge(lists...)))
 }
 
-// gather adds the events of one source, or reports why it cannot be read.
-func (a *app) gather(lists [][]trace.Entry, source string, read func() ([]byte, error)) [][]trace.Entry {
-	text, err := read()
+// source is an instance or a file that has events.
+type source struct {
+	name string
+	read func() ([]byte, error)
+}
+
+func (a *app) sources(ctx context.Context, files []string, filter trace.Filter) ([]source, error) {
+	var sources []source
+	for _, file := range files {
+		sources = append(sources, source{file, func() ([]byte, error) { return os.ReadFile(file) }})
+	}
+	if len(a.servers) == 0 {
+		return sources, nil
+	}
+	c, err := a.client()
 	if err != nil {
-		_, _ = fmt.Fprintf(a.err, "vbctl: left out %s: %v\n", source, err)
-		return lists
+		return nil, err
 	}
-	entries, skipped, err := trace.ReadLines(bytes.NewReader(text))
-	if err != nil || skipped > 0 {
-		_, _ = fmt.Fprintf(a.err, "vbctl: %s: %d lines are no events\n", source, skipped)
+	request := client.Request{Method: http.MethodGet, Path: "/v1/events", Query: filter.Query()}
+	for _, base := range c.Servers() {
+		sources = append(sources, source{base, func() ([]byte, error) {
+			var text []byte
+			err := c.At(base).Do(ctx, request, &text)
+			return text, err
+		}})
+	}
+	return sources, nil
+}
+
+// gather reads all sources at once, because each dead instance may take the whole timeout, and
+// reports those that cannot be read.
+func (a *app) gather(sources []source) [][]trace.Entry {
+	texts := make([][]byte, len(sources))
+	errs := make([]error, len(sources))
+	var readers sync.WaitGroup
+	for i, s := range sources {
+		readers.Go(func() { texts[i], errs[i] = s.read() })
+	}
+	readers.Wait()
+	var lists [][]trace.Entry
+	for i, s := range sources {
+		if errs[i] != nil {
+			_, _ = fmt.Fprintf(a.err, "vbctl: left out %s: %v\n", s.name, reason(errs[i]))
+			continue
+		}
+		entries, skipped, err := trace.ReadLines(bytes.NewReader(texts[i]))
+		if err != nil || skipped > 0 {
+			_, _ = fmt.Fprintf(a.err, "vbctl: %s: %d lines are no events\n", s.name, skipped)
+		}
+		lists = append(lists, entries)
+	}
+	return lists
+}
+
+// reason leaves out the server, which the message names already.
+func reason(err error) string {
+	var e *client.Error
+	if errors.As(err, &e) {
+		return e.Text
 	}
-	return append(lists, entries)
+	return err.Error()
 }
 
 func (a *app) timelineWriter(format string) (func(io.Writer, []trace.Entry) error, error) {
