--- a/core/spec/check.go
+++ b/core/spec/check.go
@@ -56,7 +56,7 @@
 }
 
 func (c *checker) section(s section) {
-	if s.kind == headless {
+	if s.kind == noHeader {
 		c.problem("", "", "keys stand before the first section, want [cell] above them")
 		return
 	}
--- a/core/spec/parse.go
+++ b/core/spec/parse.go
@@ -30,7 +30,7 @@
 	var d Document
 	for _, s := range file.Sections() {
 		read := readSection(s)
-		if read.kind == headless && len(read.pairs) == 0 {
+		if read.kind == noHeader && len(read.pairs) == 0 {
 			continue
 		}
 		d.sections = append(d.sections, read)
@@ -89,8 +89,8 @@
 	return nil
 }
 
-// headless is the kind of the section that holds the keys before the first header.
-const headless Kind = "DEFAULT"
+// noHeader is the kind of the section that holds the keys before the first header.
+const noHeader Kind = "DEFAULT"
 
 // maxLines bounds the lines of a section, comments included.
 const maxLines = 1000
@@ -102,7 +102,7 @@
 func readSection(s *ini.Section) section {
 	words := strings.Fields(s.Name())
 	if s.Name() == ini.DefaultSection {
-		words = []string{string(headless)}
+		words = []string{string(noHeader)}
 	}
 	out := section{}
 	if len(words) > 0 {
--- a/core/trace/filter.go
+++ b/core/trace/filter.go
@@ -30,14 +30,14 @@
 func (f Filter) Match(e Entry) bool {
 	s := e.Event.About()
 	process, _, _ := strings.Cut(e.Process, "#")
-	return is(f.Task, s.Task) &&
-		(is(f.Job, s.Job) || f.Job == s.Task.Job) &&
-		is(f.Request, s.Request) &&
-		(is(f.Instance, s.Instance) || string(f.Instance) == process) &&
-		(is(f.Zone, s.Zone) || f.Zone == e.Zone) &&
-		is(f.Worker, s.Worker) &&
-		is(f.Server, s.Server) &&
-		is(f.Service, s.Service) &&
+	return matches(f.Task, s.Task) &&
+		(matches(f.Job, s.Job) || f.Job == s.Task.Job) &&
+		matches(f.Request, s.Request) &&
+		(matches(f.Instance, s.Instance) || string(f.Instance) == process) &&
+		(matches(f.Zone, s.Zone) || f.Zone == e.Zone) &&
+		matches(f.Worker, s.Worker) &&
+		matches(f.Server, s.Server) &&
+		matches(f.Service, s.Service) &&
 		(len(f.Kinds) == 0 || slices.Contains(f.Kinds, e.Event.Kind())) &&
 		(f.After.IsZero() || e.Stamp.Compare(f.After) > 0)
 }
@@ -127,8 +127,8 @@
 	"task", "job", "request", "instance", "zone", "worker", "server", "service", "kind", "after", "limit",
 }
 
-// is reports whether a field of a filter is empty or equal to that of an event.
-func is[T comparable](want, got T) bool {
+// matches reports whether a field of a filter is empty or equal to that of an event.
+func matches[T comparable](want, got T) bool {
 	var none T
 	return want == none || want == got
 }
--- a/core/trace/picture.go
+++ b/core/trace/picture.go
@@ -83,18 +83,18 @@
 			Process: e.Process, About: Describe(e.Event),
 		}
 		p.Rows = append(p.Rows, r)
-		if thread := thread(e.Event); thread != "" {
-			if before, ok := last[thread]; ok {
+		if key := linkKey(e.Event); key != "" {
+			if before, ok := last[key]; ok {
 				p.Links = append(p.Links, link{before.X, before.Y, r.X, r.Y})
 			}
-			last[thread] = r
+			last[key] = r
 		}
 	}
 	return p
 }
 
-// thread identifies the task, the job or the request that an event belongs to.
-func thread(e Event) string {
+// linkKey identifies the task, the job or the request that an event belongs to.
+func linkKey(e Event) string {
 	s := e.About()
 	switch {
 	case s.Task.Job != "":
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -371,9 +371,9 @@
 // BenchmarkRecord measures what an event costs the process that records it.
 func BenchmarkRecord(b *testing.B) {
 	r := trace.NewRecorder(trace.Options{Process: "a", Source: clock.NewSystem()})
-	event := trace.Routed{Subject: trace.Subject{Request: "r-1", Server: "s", Service: "web"}, Attempt: 1}
+	subject := trace.Subject{Request: "r-1", Server: "s", Service: "web"}
 	b.ReportAllocs()
 	for b.Loop() {
-		r.Record(event)
+		r.Record(trace.Routed{Subject: subject, Attempt: 1})
 	}
 }
--- a/vbctl/client/attempt.go
+++ b/vbctl/client/attempt.go
@@ -143,10 +143,10 @@
 // attempts are the failed attempts of one call, in their order.
 type attempts []*Error
 
-// verdict joins the attempts into one error. An earlier attempt without an answer may have
+// combine joins the attempts into one error. An earlier attempt without an answer may have
 // taken effect, so a later refusal by another server does not make the call "not run". Only a
 // conflict does: its key is looked up before its version, so none of the attempts was accepted.
-func (a attempts) verdict(r Request) error {
+func (a attempts) combine(r Request) error {
 	last := *a[len(a)-1]
 	if len(a) > 1 && !last.final {
 		lines := make([]string, len(a))
--- a/vbctl/client/client.go
+++ b/vbctl/client/client.go
@@ -105,5 +105,5 @@
 			break
 		}
 	}
-	return failed.verdict(r)
+	return failed.combine(r)
 }
