sched: use the Keeper of core/lease; trace file of bounded size

The leader's side of the worker protocol stood twice. core/lease.Keeper, which a rapid property drives together with the scheduler and the workers, replaces the own bookkeeping of sched: a life of a worker is proved by a request that carries the leader's epoch, instead of by three syncs. The length of the lease is an argument now, because the settings choose it. TestLateRequestOfEarlierLife keeps its check of the task; a late request now gets an answer without tasks instead of an error.

--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// Time is the length of the lease that a leader grants with an answer.
+	// Time is the length of a lease unless the settings give another.
 	Time = 10 * clock.Second
 	// drift is how much slower than the leader's clock a worker's clock may run, in percent.
 	drift = 5
@@ -19,8 +19,9 @@
 	slack = clock.Second
 )
 
-// Silence is the time after the last answer to a worker from which its lease has surely ended.
-const Silence = Time + Time*drift/100 + slack
+// Silence returns the time after the last answer to a worker from which a lease of the given
+// length has surely ended.
+func Silence(length clock.Millis) clock.Millis { return length + length.Percent(drift) + slack }
 
 // Verdict says how the leader treats a sync request.
 type Verdict uint8
@@ -40,6 +41,7 @@
 // and which workers have surely lost their lease. It is not safe for concurrent use.
 type Keeper struct {
 	epoch   model.Epoch
+	silence clock.Millis
 	workers map[model.WorkerID]*record
 }
 
@@ -54,15 +56,24 @@
 	leased   bool
 }
 
-// NewKeeper returns a Keeper without workers for the leader of the epoch.
-func NewKeeper(epoch model.Epoch) *Keeper {
-	return &Keeper{epoch: epoch, workers: make(map[model.WorkerID]*record)}
+// NewKeeper returns a Keeper without workers for the leader of the epoch, which grants leases
+// of the given length.
+func NewKeeper(epoch model.Epoch, length clock.Millis) *Keeper {
+	return &Keeper{epoch: epoch, silence: Silence(length), workers: make(map[model.WorkerID]*record)}
 }
 
 // Restore adds a worker that holds tasks according to durable state. A new leader calls it at its
 // election, because the last leader may have answered the worker until then.
 func (k *Keeper) Restore(now clock.Millis, w model.WorkerID, incarnation model.Incarnation) {
-	k.workers[w] = &record{lives: []model.Incarnation{incarnation}, answered: now, leased: true}
+	r, ok := k.workers[w]
+	if !ok {
+		r = &record{}
+		k.workers[w] = r
+	}
+	r.answered, r.leased = now, true
+	if !slices.Contains(r.lives, incarnation) {
+		r.lives = append(r.lives, incarnation)
+	}
 }
 
 // Receive judges a request.
@@ -104,7 +115,7 @@
 func (k *Keeper) Gone(now clock.Millis) []model.WorkerID {
 	var gone []model.WorkerID
 	for w, r := range k.workers {
-		if r.leased && now-r.answered > Silence {
+		if r.leased && now-r.answered > k.silence {
 			gone = append(gone, w)
 			r.leased = false
 		}
--- a/vbridged/sched/lead.go
+++ b/vbridged/sched/lead.go
@@ -5,6 +5,7 @@
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
+	"vanillabridge/core/lease"
 	"vanillabridge/core/model"
 	"vanillabridge/core/place"
 	"vanillabridge/core/proto"
@@ -23,6 +24,7 @@
 	*runner
 	epoch   model.Epoch
 	place   *place.Scheduler
+	keeper  *lease.Keeper
 	workers map[model.WorkerID]*worker
 	orders  map[model.TaskID]place.Order
 	ends    map[attempt]proto.TaskEnd // reported, not yet committed
@@ -39,6 +41,7 @@
 		runner:  r,
 		epoch:   epoch,
 		place:   place.New(place.Config{Zone: r.options.Zone, Seed: r.options.Seed}),
+		keeper:  lease.NewKeeper(epoch, r.options.Lease),
 		workers: map[model.WorkerID]*worker{},
 		orders:  map[model.TaskID]place.Order{},
 		ends:    map[attempt]proto.TaskEnd{},
@@ -55,18 +58,12 @@
 	l.options.State.View(func(z *state.Zone) {
 		z.Jobs(func(j *state.Job) { l.submit(now, j) })
 		for id := range z.HeldWorkers() {
-			l.workers[id] = &worker{id: id, incarnation: heldIncarnation(z, id), answered: now}
+			z.Held(id, func(_ model.TaskID, t *state.Task) { l.keeper.Restore(now, id, t.Incarnation) })
 		}
 	})
 	l.adoptConfig(now)
 }
 
-func heldIncarnation(z *state.Zone, id model.WorkerID) model.Incarnation {
-	var incarnation model.Incarnation
-	z.Held(id, func(_ model.TaskID, t *state.Task) { incarnation = t.Incarnation })
-	return incarnation
-}
-
 // submit hands the unfinished tasks of a job to the scheduler.
 func (l *lead) submit(now clock.Millis, j *state.Job) {
 	if j.Open == 0 {
--- a/vbridged/sched/ports.go
+++ b/vbridged/sched/ports.go
@@ -53,15 +53,8 @@
 	// holdSync is how long a sync without news waits for some. It stays below the period of
 	// the workers' syncs, so that a worker has one request open at a time.
 	holdSync = 400 * clock.Millisecond
-	// driftPercent bounds how much slower a worker's clock may run than the leader's.
-	driftPercent = 5
-	// leaseMargin is added to the end of a lease for the stopping of tasks.
-	leaseMargin = clock.Second
 	// proposeTimeout bounds one proposal; its outcome is then open and the state is read anew.
 	proposeTimeout = 5 * clock.Second
 	// expireEvery is the period at which old records are forgotten.
 	expireEvery = clock.Second
-	// incarnationSyncs is the number of syncs after which another incarnation of a worker is
-	// believed. A single late request of a dead process must not return live tasks to the queue.
-	incarnationSyncs = 3
 )
--- a/vbridged/sched/worker.go
+++ b/vbridged/sched/worker.go
@@ -3,6 +3,7 @@
 import (
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
+	"vanillabridge/core/lease"
 	"vanillabridge/core/model"
 	"vanillabridge/core/place"
 	"vanillabridge/core/proto"
@@ -10,73 +11,43 @@
 	"vanillabridge/core/trace"
 )
 
-// worker is what the leader knows of a worker.
+// worker is what the leader knows of the present life of a worker.
 type worker struct {
 	id          model.WorkerID
 	incarnation model.Incarnation
-	known       bool // it has reported to this leader
-	seq         uint64
-	answered    clock.Millis // when the last answer was sent, which may have renewed its lease
 	parked      *syncInput   // a sync that waits for news
 	since       clock.Millis // when it was parked
 	news        bool         // something changed for the worker
 	size        model.Size
 	used        model.Size
-	retired     []model.Incarnation // earlier lives, whose late requests are refused
-	candidate   model.Incarnation   // another life that is not yet believed
-	seen        int                 // syncs of the candidate
 }
 
 func (l *lead) sync(now clock.Millis, i syncInput) {
-	w, err := l.admit(i.request)
-	if err != nil {
-		i.reply <- syncResult{err: err}
-		return
-	}
-	w.seq = i.request.Seq
-	w.size = i.request.Size
-	l.report(now, w, i.request)
-	l.park(now, w, i)
-}
-
-// admit finds the worker and checks that the request comes from its current life.
-func (l *lead) admit(r proto.SyncRequest) (*worker, error) {
+	r := i.request
+	switch l.keeper.Receive(now, r) {
+	case lease.Stale:
+		i.reply <- syncResult{err: fault.Wrap(fault.ErrInvalid, "sync %d of worker %s is older than one that was seen", r.Seq, r.Worker)}
+	case lease.Greet:
+		reply := proto.SyncReply{Epoch: l.epoch, Seq: r.Seq, Lease: l.options.Lease, Leader: l.options.Address}
+		i.reply <- syncResult{reply: reply}
+	case lease.Current:
+		w := l.worker(r)
+		l.report(now, w, r)
+		l.park(now, w, i)
+	}
+}
+
+// worker returns the worker in its present life.
+func (l *lead) worker(r proto.SyncRequest) *worker {
 	w, ok := l.workers[r.Worker]
 	if !ok {
-		w = &worker{id: r.Worker, incarnation: r.Incarnation}
+		w = &worker{id: r.Worker}
 		l.workers[r.Worker] = w
-	}
-	for _, old := range w.retired {
-		if old == r.Incarnation {
-			return nil, fault.Wrap(fault.ErrInvalid, "incarnation %d of worker %s was replaced", r.Incarnation, r.Worker)
-		}
-	}
-	if r.Incarnation != w.incarnation && !w.believe(r) {
-		return nil, fault.Wrap(fault.ErrUnavailable, "worker %s restarted; waiting for more of its syncs", r.Worker)
-	}
-	if w.known && r.Seq <= w.seq {
-		return nil, fault.Wrap(fault.ErrInvalid, "sync %d of worker %s is older than %d", r.Seq, r.Worker, w.seq)
-	}
-	if !w.known {
-		w.known = true
 		l.options.Events.Record(trace.WorkerJoined{Subject: trace.Subject{Worker: r.Worker}})
 	}
-	return w, nil
-}
-
-// believe counts the syncs of another life of the worker, and takes it over after a few.
-func (w *worker) believe(r proto.SyncRequest) bool {
-	if w.candidate != r.Incarnation {
-		w.candidate, w.seen = r.Incarnation, 0
-	}
-	w.seen++
-	if w.seen < incarnationSyncs {
-		return false
-	}
-	w.retired = append(w.retired, w.incarnation)
 	w.incarnation = r.Incarnation
-	w.candidate, w.known, w.seq = 0, false, 0
-	return true
+	w.size = r.Size
+	return w
 }
 
 // report hands the worker's report to the scheduler and collects what has to be committed.
@@ -174,7 +145,7 @@
 		i.reply <- syncResult{err: fault.Wrap(fault.ErrNotLeader, "sync of worker %s", w.id)}
 		return
 	}
-	w.answered = now
+	l.keeper.Answered(now, w.id)
 	reply := proto.SyncReply{Epoch: l.epoch, Seq: i.request.Seq, Lease: l.options.Lease, Leader: l.options.Address}
 	l.options.State.View(func(z *state.Zone) {
 		reply.Tasks = l.assigned(z, w, i.request)
@@ -229,10 +200,9 @@
 
 // loseWorkers gives up workers whose lease has surely ended on their own clock.
 func (l *lead) loseWorkers(now clock.Millis) {
-	limit := l.options.Lease + l.options.Lease.Percent(driftPercent) + leaseMargin
-	for id, w := range l.workers {
-		if w.parked != nil || now-w.answered <= limit {
-			continue
+	for _, id := range l.keeper.Gone(now) {
+		if w, ok := l.workers[id]; ok && w.parked != nil {
+			w.parked.reply <- syncResult{err: fault.Wrap(fault.ErrUnavailable, "lease of worker %s ended", id)}
 		}
 		delete(l.workers, id)
 		l.options.Events.Record(trace.WorkerLost{Subject: trace.Subject{Worker: id}, Reason: "lease ended"})
--- a/vbridged/serve.go
+++ b/vbridged/serve.go
@@ -47,11 +47,11 @@
 		return err
 	}
 	defer logs.Close()
-	sink, err := openAppend("[trace] file", settings.Trace.File)
+	events, err := openEvents(settings.Trace)
 	if err != nil {
 		return err
 	}
-	defer sink.Close()
+	defer events.Close()
 	warnPlain(settings)
 	source := clock.NewSystem()
 	life := server.NewLife()
@@ -61,13 +61,15 @@
 		Source:  source,
 		Size:    settings.Trace.Size,
 	}
-	if settings.Trace.File != "" {
-		options.Sink = sink
+	if events.file != nil {
+		options.Sink = events.file
 	}
+	recorder := trace.NewRecorder(options)
+	recorder.Merge(events.last())
 	s, err := server.New(server.Options{
 		Settings: settings,
 		Version:  version,
-		Recorder: trace.NewRecorder(options),
+		Recorder: recorder,
 		Clock:    source,
 		Life:     life,
 	})
@@ -98,3 +100,32 @@
 
 // Close does nothing.
 func (discard) Close() error { return nil }
+
+// events is the file of the timeline, if the settings name one.
+type events struct{ file *trace.File }
+
+func openEvents(t config.Trace) (events, error) {
+	if t.File == "" {
+		return events{}, nil
+	}
+	f, err := trace.OpenFile(t.File, int64(t.Limit))
+	if err != nil {
+		return events{}, fault.Wrap(fault.ErrInvalid, "[trace] file: %v", err)
+	}
+	return events{file: f}, nil
+}
+
+// last returns the stamp of the last event of an earlier life of this process.
+func (e events) last() trace.Stamp {
+	if e.file == nil {
+		return trace.Stamp{}
+	}
+	return e.file.Last()
+}
+
+// Close closes the file.
+func (e events) Close() {
+	if e.file != nil {
+		_ = e.file.Close()
+	}
+}
