server: open the groups last; readiness asks no other instance; test a restart

A group reports its role from a goroutine of its own as soon as it is open, and the request path, which hears of it, was made after the groups: a nil pointer in a rare order. /readyz asked all other instances for their status, which takes up to a second during a cut; it now looks at this instance only.

TestStateSurvivesRestart runs one instance in the test's process: accepted configuration, submission key, outcome of a batch and a repeated run across a restart.

--- a/vbridged/admin/handlers.go
+++ b/vbridged/admin/handlers.go
@@ -107,13 +107,13 @@
 
 // ready answers 503 with the reasons while the instance should get no traffic.
 func (h handlers) ready(c echo.Context) error {
-	status := h.service.Status(c.Request().Context())
-	if status.Ready {
+	reasons := h.service.Unready()
+	if len(reasons) == 0 {
 		return c.String(http.StatusOK, "ready\n")
 	}
 	return c.JSON(http.StatusServiceUnavailable, struct {
 		Reasons []string `json:"reasons"`
-	}{status.Reasons})
+	}{reasons})
 }
 
 // read decodes a body, refusing unknown fields: a misspelled one would be ignored silently.
--- a/vbridged/admin/service.go
+++ b/vbridged/admin/service.go
@@ -16,6 +16,8 @@
 	Job(ctx context.Context, id model.JobID) (proto.JobReply, error)
 	Cancel(ctx context.Context, id model.JobID) (proto.JobReply, error)
 	Status(ctx context.Context) proto.StatusReply
+	// Unready lists why the instance should get no traffic; it asks no other instance.
+	Unready() []string
 	Sync(ctx context.Context, r proto.SyncRequest) (proto.SyncReply, error)
 	Events(f trace.Filter) []trace.Entry
 	Drain()
--- a/vbridged/server/configs.go
+++ b/vbridged/server/configs.go
@@ -53,9 +53,7 @@
 	if _, ok := c.(state.ConfigChanged); ok {
 		s.applyConfig()
 	}
-	if s.sched != nil {
-		s.sched.Changed(c)
-	}
+	s.sched.Changed(c)
 }
 
 // applyConfig puts the zone's configuration in force in this process. Versions never go back:
--- a/vbridged/server/groups.go
+++ b/vbridged/server/groups.go
@@ -36,7 +36,6 @@
 		peers = append(peers, quorum.Peer{Name: w, Zone: s.zoneOf(w), Witness: true})
 		voters = append(slices.Clone(voters), w)
 	}
-	s.sched = sched.New(s.schedOptions())
 	g, err := s.openGroup(zoneName(own.Zone), peers, voters, s.zone, s.timing(), s.zoneRole)
 	if err != nil {
 		return err
--- a/vbridged/server/server.go
+++ b/vbridged/server/server.go
@@ -88,12 +88,14 @@
 	if err := s.openNet(); err != nil {
 		return nil, err
 	}
+	// The groups report roles and changes as soon as they are open, so all that listens to
+	// them comes first.
+	s.sched = sched.New(s.schedOptions())
 	s.zone.Subscribe(s.zoneChanged)
-	if err := s.openGroups(); err != nil {
-		s.closeGroups()
+	if err := s.openEntry(); err != nil {
 		return nil, err
 	}
-	if err := s.openEntry(); err != nil {
+	if err := s.openGroups(); err != nil {
 		s.closeGroups()
 		return nil, err
 	}
--- /dev/null
+++ b/vbridged/server/server_test.go
@@ -0,0 +1,239 @@
+package server_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/lease"
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+	"vanillabridge/core/trace"
+	"vanillabridge/vbridged/config"
+	"vanillabridge/vbridged/server"
+)
+
+const document = `[cell]
+version = %d
+[team t]
+cpu = 64000m
+memory = 128000Mi
+[batch plan]
+team = t
+run = a
+zones = z
+count = 3
+cpu = 100m
+memory = 64Mi
+time = 1s
+urgency = urgent
+`
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// instance is a cell of one instance that a test can stop and start again.
+type instance struct {
+	t        *testing.T
+	settings config.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func newInstance(t *testing.T) *instance {
+	t.Helper()
+	text := fmt.Sprintf(`[instance]
+name = one
+zone = z
+region = r
+data = %s
+bootstrap = true
+[listen]
+http = %s
+peer = %s
+[group]
+voters = one
+cell = one
+`, t.TempDir(), freeAddress(t), freeAddress(t))
+	settings, err := config.Parse("test.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := &instance{t: t, settings: settings}
+	i.start()
+	t.Cleanup(func() { i.end() })
+	return i
+}
+
+func (i *instance) start() {
+	i.t.Helper()
+	source := clock.NewSystem()
+	s, err := server.New(server.Options{
+		Settings: i.settings, Version: "test", Clock: source, Life: server.NewLife(),
+		Recorder: trace.NewRecorder(trace.Options{Process: "one#1", Zone: "z", Source: source}),
+	})
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop, i.done = cancel, make(chan error, 1)
+	go func() { i.done <- s.Serve(ctx) }()
+	i.until("ready", func() bool { return i.call(http.MethodGet, "/readyz", nil, nil) == http.StatusOK })
+}
+
+func (i *instance) end() {
+	if i.stop == nil {
+		return
+	}
+	i.stop()
+	if err := <-i.done; err != nil {
+		i.t.Errorf("stop: %v", err)
+	}
+	i.stop = nil
+}
+
+// call sends one request and decodes its answer; it returns 0 if there was none.
+func (i *instance) call(method, path string, body, into any) int {
+	i.t.Helper()
+	text, err := json.Marshal(body)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	r, err := http.NewRequestWithContext(i.t.Context(), method, "http://"+i.settings.Listen.HTTP.String()+path, bytes.NewReader(text))
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if into != nil {
+		if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+			i.t.Fatalf("%s %s: %v", method, path, err)
+		}
+	}
+	return resp.StatusCode
+}
+
+// until waits for a condition; the timeout of the test run ends a wait in vain.
+func (i *instance) until(what string, done func() bool) {
+	i.t.Helper()
+	for n := 0; !done(); n++ {
+		if n == 3000 {
+			i.t.Fatalf("%s: not after %d tries", what, n)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (i *instance) submit(key string, version int) (int, proto.SubmitReply) {
+	i.t.Helper()
+	var reply proto.SubmitReply
+	status := i.call(http.MethodPost, "/v1/config", proto.SubmitRequest{Key: key, Document: fmt.Sprintf(document, version)}, &reply)
+	return status, reply
+}
+
+// work plays a worker that ends every task at once, until the job has no open task.
+func (i *instance) work(id model.JobID) proto.JobReply {
+	i.t.Helper()
+	source := clock.NewSystem()
+	w := lease.New(lease.Config{Worker: "w", Incarnation: 1, Zone: "z", Rack: "k", Size: model.Size{CPU: 16000, Memory: 32000}})
+	var job proto.JobReply
+	i.until("job ends", func() bool {
+		i.drive(w, source)
+		return i.call(http.MethodGet, "/v1/jobs/"+string(id), nil, &job) == http.StatusOK && job.Counts.Done == len(job.Tasks)
+	})
+	return job
+}
+
+func (i *instance) drive(w *lease.Worker, source clock.Source) {
+	i.t.Helper()
+	for _, o := range w.Step(source.Now(), lease.Tick{}) {
+		send, ok := o.(lease.Send)
+		if !ok {
+			continue
+		}
+		sent := source.Now()
+		var reply proto.SyncReply
+		if i.call(http.MethodPost, "/v1/workers/sync", send.Request, &reply) != http.StatusOK {
+			continue
+		}
+		for _, o := range w.Step(source.Now(), lease.Reply{Sent: sent, Body: reply}) {
+			if start, ok := o.(lease.Start); ok {
+				w.Step(source.Now(), lease.Began{Task: start.Task, Attempt: start.Attempt})
+				end := proto.TaskEnd{Task: start.Task, Attempt: start.Attempt, End: proto.EndDone, Time: 1}
+				w.Step(source.Now(), lease.Finished{TaskEnd: end})
+			}
+		}
+	}
+}
+
+// Guards against an accepted configuration, a submission key or an outcome that does not
+// survive a restart, and against a run that starts twice.
+func TestStateSurvivesRestart(t *testing.T) {
+	i := newInstance(t)
+	if status, reply := i.submit("k", 1); status != http.StatusOK || reply.Version != 1 {
+		t.Fatalf("first submission: %d %+v", status, reply)
+	}
+	if status, reply := i.submit("other", 1); status != http.StatusConflict {
+		t.Errorf("second submission of version 1: %d %+v, want %d", status, reply, http.StatusConflict)
+	}
+	job := i.work("plan/a")
+	i.end()
+	i.start()
+	if status, reply := i.submit("k", 1); status != http.StatusOK || reply.Version != 1 {
+		t.Errorf("resend after a restart: %d %+v, want the first answer", status, reply)
+	}
+	var current proto.ConfigReply
+	if i.call(http.MethodGet, "/v1/config", nil, &current); current.Version != 1 {
+		t.Errorf("version in force after a restart = %d, want 1", current.Version)
+	}
+	var again proto.JobReply
+	if status := i.call(http.MethodPost, "/v1/jobs", proto.RunRequest{Name: "plan", Run: "a"}, &again); status != http.StatusOK {
+		t.Errorf("resend of a run: status %d", status)
+	}
+	for n, task := range again.Tasks {
+		if task.Phase != proto.TaskDone || task.Attempt != job.Tasks[n].Attempt {
+			t.Errorf("task %d after a restart: %s in attempt %d, want done in attempt %d", n, task.Phase, task.Attempt, job.Tasks[n].Attempt)
+		}
+	}
+}
+
+// Guards against careless input that is half applied, and against answers that do not say
+// that nothing was done.
+func TestBadInputIsRefused(t *testing.T) {
+	i := newInstance(t)
+	for name, c := range map[string]struct {
+		method, path string
+		body         any
+		status       int
+	}{
+		"unknown key":    {http.MethodPost, "/v1/config", proto.SubmitRequest{Document: "[cell]\nversion = 1\nwat = 1\n"}, http.StatusBadRequest},
+		"unknown field":  {http.MethodPost, "/v1/jobs", struct{ Wat int }{1}, http.StatusBadRequest},
+		"unknown batch":  {http.MethodPost, "/v1/jobs", proto.RunRequest{Name: "none"}, http.StatusNotFound},
+		"bad run":        {http.MethodPost, "/v1/jobs", proto.RunRequest{Name: "none", Run: "a/b"}, http.StatusBadRequest},
+		"unknown job":    {http.MethodGet, "/v1/jobs/none/a", nil, http.StatusNotFound},
+		"unknown zone":   {http.MethodPost, "/v1/workers/sync", proto.SyncRequest{Worker: "w", Incarnation: 1, Zone: "y"}, http.StatusServiceUnavailable},
+		"no incarnation": {http.MethodPost, "/v1/workers/sync", proto.SyncRequest{Worker: "w", Zone: "z"}, http.StatusBadRequest},
+	} {
+		var problem proto.Problem
+		if status := i.call(c.method, c.path, c.body, &problem); status != c.status || problem.Outcome != proto.OutcomeNotRun {
+			t.Errorf("%s: status %d, outcome %q, error %q; want %d and %q", name, status, problem.Outcome, problem.Error, c.status, proto.OutcomeNotRun)
+		}
+	}
+}
--- a/vbridged/server/status.go
+++ b/vbridged/server/status.go
@@ -25,7 +25,7 @@
 
 // Status describes this instance and what it sees of the others.
 func (s *Server) Status(ctx context.Context) proto.StatusReply {
-	reasons := s.unready()
+	reasons := s.Unready()
 	reply := proto.StatusReply{
 		Instance:  s.settings.Instance.Name,
 		Zone:      s.settings.Instance.Zone,
@@ -51,9 +51,9 @@
 	return status
 }
 
-// unready lists why the instance should get no traffic. An instance without a leader in its
+// Unready lists why the instance should get no traffic. An instance without a leader in its
 // zone still serves callers on its floor of permits.
-func (s *Server) unready() []string {
+func (s *Server) Unready() []string {
 	reasons := []string{}
 	if s.draining.Load() {
 		reasons = append(reasons, "draining")
