Hold the slot of an abandoned request for the drift of the server's clock

A request cut off at its deadline released its slot at once, but the server's clock may be slower and its deadline later.

Change: permit.LastRun bounds the end of a request from the instant of its first byte; member.Outbox keeps the evidence of each announcement; a body that nobody wants is drained or made unreadable before a full-duplex handler returns, because net/http panics on the next request otherwise ('invalid concurrent Body.Read call', seen in TestManyCallers). The retry budget starts full: with one token the first failures of a service used it up.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -182,10 +182,7 @@
 }
 
 func (t *Table) heard(now clock.Millis, in Heard, out []Output) []Output {
-	age := max(in.Age, 0)
-	if in.Direct && now < t.tail {
-		age = max(age, t.gap)
-	}
+	evidence := t.evidence(now, in)
 	a := in.Announce
 	k := Key{Name: a.Name, Incarnation: a.Incarnation}
 	e, ok := t.servers[k]
@@ -205,7 +202,7 @@
 		return out
 	}
 	e.Seq = a.Seq
-	e.Evidence = max(e.Evidence, now-age)
+	e.Evidence = max(e.Evidence, evidence)
 	e.Active = a.Active
 	// The limits are fixed for an incarnation; of two values the smaller is safe.
 	e.Slots = min(e.Slots, a.Slots)
@@ -222,6 +219,15 @@
 	return append(out, Rose{Server: e.Server})
 }
 
+// evidence returns the instant at which an announcement was made, at the earliest.
+func (t *Table) evidence(now clock.Millis, in Heard) clock.Millis {
+	age := max(in.Age, 0)
+	if in.Direct && now < t.tail {
+		age = max(age, t.gap)
+	}
+	return now - age
+}
+
 func (t *Table) add(k Key, a proto.Announce) *entry {
 	if len(t.servers) >= MaxServers {
 		return nil
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -21,10 +22,10 @@
 
 type node struct {
 	drift, offset, wake, life clock.Millis
+	cut                       clock.Millis // until when nothing reaches it
 	table                     *member.Table
 	links                     *member.Links
-	fresh                     []proto.Announce
-	heard                     map[uint64]clock.Millis
+	fresh                     *member.Outbox
 	direct                    bool // it got an announcement without a relay
 }
 
@@ -33,6 +34,7 @@
 	to       int
 	announce *proto.Announce
 	relay    *member.Relay
+	buffered bool // it reached the instance during a pause
 }
 
 type zone struct {
@@ -56,9 +58,12 @@
 func (z *zone) restart(i int) {
 	n := z.nodes[i]
 	n.life++
+	n.wake = 0
+	// What the old process had not read is gone with its sockets.
+	z.net = slices.DeleteFunc(z.net, func(p packet) bool { return p.to == i && p.buffered })
 	n.table = member.New(z.local(i))
 	n.links = member.NewLinks(name(i), model.Incarnation(n.life))
-	n.heard, n.fresh, n.direct = map[uint64]clock.Millis{}, nil, false
+	n.fresh, n.direct = member.NewOutbox(), false
 }
 
 func name(i int) model.Instance { return model.Instance(rune('a' + i)) }
@@ -81,12 +86,16 @@
 		n := z.nodes[p.to]
 		now := z.local(p.to)
 		switch {
-		case p.at > z.now || z.now < n.wake:
+		case p.at > z.now:
+			z.net = append(z.net, p)
+		case z.now < n.cut && !p.buffered:
+		case z.now < n.wake:
+			p.buffered = true
 			z.net = append(z.net, p)
 		case p.announce != nil:
-			n.table.Step(now, member.Heard{Announce: *p.announce, Direct: true})
-			n.fresh = append(n.fresh, *p.announce)
-			n.heard[p.announce.Seq] = now
+			h := member.Heard{Announce: *p.announce, Direct: true}
+			n.table.Step(now, h)
+			n.fresh.Add(now, n.table, h)
 			n.direct = true
 		default:
 			for _, h := range n.links.Unwrap(now, *p.relay) {
@@ -99,11 +108,7 @@
 func (z *zone) send(i int) {
 	n := z.nodes[i]
 	now := z.local(i)
-	var list []member.Relayed
-	for _, a := range n.fresh {
-		list = append(list, member.Relayed{Announce: a, Age: now - n.heard[a.Seq]})
-	}
-	n.fresh = nil
+	list := n.fresh.Take(now)
 	for to := range z.nodes {
 		if to == i {
 			continue
@@ -149,9 +154,11 @@
 	}
 	at := z.pick("instance", instances)
 	switch z.pick("fault", 100) {
-	case 98:
+	case 45, 46:
+		z.nodes[at].cut = z.now + clock.Millis([]int{2000, 5000, 15000}[z.pick("cut", 3)])
+	case 47, 48:
 		z.nodes[at].wake = z.now + clock.Millis([]int{100, 1000, 5000, 20000}[z.pick("pause", 4)])
-	case 99:
+	case 53:
 		z.restart(at)
 	}
 }
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -1,6 +1,9 @@
 package member
 
 import (
+	"maps"
+	"slices"
+
 	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
 	"vanillabridge/core/proto"
@@ -30,6 +33,42 @@
 	List   []Relayed         `json:"list"`
 }
 
+// Outbox collects the announcements that were heard directly, until they are relayed.
+type Outbox struct {
+	items map[Key]pending
+}
+
+// pending keeps the evidence of one announcement: that of the server can come from another
+// announcement, with another state.
+type pending struct {
+	announce proto.Announce
+	evidence clock.Millis
+}
+
+// NewOutbox returns an empty outbox.
+func NewOutbox() *Outbox { return &Outbox{items: map[Key]pending{}} }
+
+// Add takes an announcement that the table has just heard.
+func (o *Outbox) Add(now clock.Millis, t *Table, h Heard) {
+	k := Key{Name: h.Announce.Name, Incarnation: h.Announce.Incarnation}
+	if old, ok := o.items[k]; ok && old.announce.State == proto.ServerLeaving {
+		return
+	}
+	o.items[k] = pending{announce: h.Announce, evidence: t.evidence(now, h)}
+}
+
+// Take empties the outbox, in the order of the servers.
+func (o *Outbox) Take(now clock.Millis) []Relayed {
+	keys := slices.SortedFunc(maps.Keys(o.items), Compare)
+	list := make([]Relayed, 0, len(keys))
+	for _, k := range keys {
+		p := o.items[k]
+		list = append(list, Relayed{Announce: p.announce, Age: now - p.evidence})
+	}
+	clear(o.items)
+	return list
+}
+
 type beacon struct {
 	life model.Incarnation
 	sent clock.Millis
--- a/core/permit/holder.go
+++ b/core/permit/holder.go
@@ -107,16 +107,16 @@
 }
 
 // Release returns a permit. A request that ended whole frees its slot at once; of an
-// abandoned one the backend server may not know, so its slot stays taken until the
-// deadline that was passed on to the server.
-func (h *Holder) Release(now clock.Millis, k member.Key, whole bool, deadline clock.Millis) {
+// abandoned one the backend server may not know, so its slot stays taken until the given
+// instant, which is that of LastRun.
+func (h *Holder) Release(now clock.Millis, k member.Key, whole bool, until clock.Millis) {
 	s, ok := h.seats[k]
 	if !ok {
 		return
 	}
 	s.active--
-	if !whole {
-		s.late = append(s.late, deadline+max(0, deadline-now).Percent(DriftPercent))
+	if !whole && until > now {
+		s.late = append(s.late, until)
 	}
 }
 
--- a/core/permit/permit.go
+++ b/core/permit/permit.go
@@ -23,6 +23,12 @@
 // WithDrift lengthens d by the drift bound.
 func WithDrift(d clock.Millis) clock.Millis { return d + d.Percent(DriftPercent) }
 
+// LastRun returns until when a request that was sent at an instant may run: the backend
+// server counts its deadline from the receipt, on a clock that may be slower.
+func LastRun(sent, deadline clock.Millis) clock.Millis {
+	return deadline + max(0, deadline-sent).Percent(DriftPercent)
+}
+
 // Floor returns the slots of a server that each of the entry instances of its zone may use
 // without a credit.
 func Floor(slots, entries int) int {
--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -1,6 +1,7 @@
 package permit_test
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -28,6 +29,7 @@
 	sent bool
 	end  clock.Millis // global time at which the server ends it
 	till clock.Millis // deadline on the clock of the instance
+	at   clock.Millis // instant of sending on that clock
 	life int
 }
 
@@ -63,6 +65,8 @@
 	ran      int
 	remote   int
 	peak     int
+	full     int // steps with all slots in use
+	steps    int
 	counted  *int
 	counting bool // the server counts its requests
 	counts   clock.Millis
@@ -160,7 +164,7 @@
 		return
 	}
 	next := f.pick("leader", locals)
-	if !f.awake(next) || f.pick("vote", 16) < 14 {
+	if !f.awake(next) || f.pick("vote", 16) != 7 {
 		return
 	}
 	f.epoch++
@@ -186,38 +190,42 @@
 	n.jobs = append(n.jobs, &job{till: f.local(i) + permit.RequestTime, life: n.life})
 }
 
-// progress sends, ends or abandons one request of an instance.
+// progress sends, ends or abandons the requests of an instance.
 func (f *fleet) progress(i int) {
 	n := f.list[i]
-	if len(n.jobs) == 0 {
-		return
-	}
-	at := f.pick("job", len(n.jobs))
-	j, now := n.jobs[at], f.local(i)
+	n.jobs = slices.DeleteFunc(n.jobs, func(j *job) bool { return f.advance(i, n, j) })
+}
+
+// advance takes the next step of a request and reports whether the instance forgets it.
+func (f *fleet) advance(i int, n *instance, j *job) bool {
+	now := f.local(i)
 	switch {
+	case !j.sent && f.pick("hesitate", 8) == 5:
+		return false
 	case !j.sent && now < j.till && n.holder.Covered(now, key):
-		j.sent = true
-		f.ran++
-		if i >= locals {
-			f.remote++
-		}
-		f.floored = f.floored || (i < locals && f.now > f.lease+3000)
-		j.end = f.now + min(clock.Millis([]int{12000, 3000, 500, 5}[f.pick("run", 4)]), j.till-now)
-		return
-	case !j.sent:
-		n.holder.Release(now, key, true, j.till)
-		n.holder.Disconnect(now, key, 0)
-	case j.end <= f.now:
+		f.send(i, j)
+		return false
+	case !j.sent, j.end <= f.now:
 		n.holder.Release(now, key, true, j.till)
 		n.holder.Disconnect(now, key, 0)
-	case f.pick("abandon", 6) == 5 || now >= j.till:
-		n.holder.Release(now, key, false, j.till)
-		n.holder.Disconnect(now, key, j.till+(j.till-now).Percent(permit.DriftPercent))
+	case f.pick("abandon", 24) == 13 || now >= j.till:
+		n.holder.Release(now, key, false, permit.LastRun(j.at, j.till))
+		n.holder.Disconnect(now, key, permit.LastRun(j.at, j.till))
 		old.jobs = append(old.jobs, j)
 	default:
-		return
+		return false
+	}
+	return true
+}
+
+func (f *fleet) send(i int, j *job) {
+	j.sent, j.at = true, f.local(i)
+	j.end = f.now + min(clock.Millis([]int{12000, 3000, 500, 5}[f.pick("run", 4)]), j.till-f.local(i))
+	f.ran++
+	if i >= locals {
+		f.remote++
 	}
-	n.jobs = append(n.jobs[:at], n.jobs[at+1:]...)
+	f.floored = f.floored || (i < locals && f.now > f.lease+3000)
 }
 
 // old holds the requests that no instance remembers but the server may still run.
@@ -250,7 +258,7 @@
 	for i := range f.list {
 		if f.awake(i) && f.pick("busy", 3) < 2 {
 			f.request(i)
-			f.progress(i)
+			f.request(i)
 			f.progress(i)
 		}
 	}
@@ -274,11 +282,11 @@
 	case !n.up:
 		f.start(i, false)
 	case !f.awake(i):
-	case what == 199:
+	case what == 113:
 		f.crash(i)
-	case what == 198:
+	case what == 71:
 		f.granters[f.leader].Unlead()
-	case what >= 194:
+	case what > 56 && what < 60:
 		n.wake = f.now + clock.Millis([]int{50, 1500, 6000, 30000}[f.pick("pause", 4)])
 	default:
 		f.progress(i)
@@ -311,10 +319,14 @@
 				t.Fatalf("%d requests and %d connections at %v", running, open, f.now)
 			}
 			sum.peak = max(sum.peak, running)
+			if running == slots {
+				sum.full++
+			}
+			sum.steps++
 		}
 		sum.ran, sum.remote, sum.floored = sum.ran+f.ran, sum.remote+f.remote, sum.floored || f.floored
 	})
-	t.Logf("%d requests, %d from another zone, peak %d", sum.ran, sum.remote, sum.peak)
+	t.Logf("%d requests, %d from another zone, all slots in use in %d of %d steps", sum.ran, sum.remote, sum.full, sum.steps)
 	if sum.ran < 1000 || sum.remote < 100 || sum.peak < slots || !sum.floored {
 		t.Fatalf("the property saw too little: on a floor without a leader: %v", sum.floored)
 	}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -62,9 +62,9 @@
 	random *rand.Rand
 }
 
-// NewBudget returns a budget with one retry in hand.
+// NewBudget returns a full budget.
 func NewBudget(seed uint64) *Budget {
-	return &Budget{tokens: tokenCost, random: rand.New(rand.NewPCG(seed, seed))}
+	return &Budget{tokens: maxTokens, random: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Request counts a request.
--- a/vbridged/entry/announce.go
+++ b/vbridged/entry/announce.go
@@ -73,7 +73,7 @@
 	}
 	// Only what was heard directly is relayed, so that relays don't circulate.
 	if s.Seq != before.Seq || s.Leaving != before.Leaving {
-		e.fresh[k] = h.Announce
+		e.outbox.Add(now, e.members, h)
 	}
 }
 
--- a/vbridged/entry/entry.go
+++ b/vbridged/entry/entry.go
@@ -30,7 +30,7 @@
 	links    *member.Links
 	holder   *permit.Holder
 	granter  *permit.Granter
-	fresh    map[member.Key]proto.Announce // newest announcement of each server, for relays
+	outbox   *member.Outbox // announcements to relay
 	idle     map[member.Key][]*wire
 	services map[string]*service
 	ids      admit.ID // of the newest request in a queue
@@ -56,7 +56,7 @@
 		links:    member.NewLinks(set.Instance, set.Incarnation),
 		holder:   permit.NewHolder(set.limits(now)),
 		granter:  permit.NewGranter(set.Zone, len(set.Peers)+1),
-		fresh:    map[member.Key]proto.Announce{},
+		outbox:   member.NewOutbox(),
 		idle:     map[member.Key][]*wire{},
 		services: map[string]*service{},
 		urges:    map[model.Zone]chan struct{}{},
--- a/vbridged/entry/entry_test.go
+++ b/vbridged/entry/entry_test.go
@@ -101,18 +101,19 @@
 	for range n {
 		w.seq++
 		a.Seq = w.seq
-		data, err := json.Marshal(a)
-		if err != nil {
-			t.Fatal(err)
-		}
-		rec := httptest.NewRecorder()
-		w.entry.Announcements().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/v1/servers/announce", bytes.NewReader(data)))
-		if rec.Code != http.StatusNoContent {
-			t.Fatalf("announcement: status %d: %s", rec.Code, rec.Body)
+		if status := w.tryAnnounce(a); status != http.StatusNoContent {
+			t.Fatalf("announcement: status %d", status)
 		}
 	}
 }
 
+func (w *world) tryAnnounce(a proto.Announce) int {
+	data, _ := json.Marshal(a) // the type has no field that can fail
+	rec := httptest.NewRecorder()
+	w.entry.Announcements().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/v1/servers/announce", bytes.NewReader(data)))
+	return rec.Code
+}
+
 func announceOf(name model.ServerID, address net.Addr) proto.Announce {
 	return proto.Announce{
 		Name: name, Incarnation: 1, Service: "svc", Address: address.String(), Zone: "a",
--- a/vbridged/entry/lease.go
+++ b/vbridged/entry/lease.go
@@ -18,8 +18,9 @@
 	key     member.Key
 	zone    model.Zone
 	address string
-	wire    *wire // nil until the connection is open
-	at      clock.Millis
+	wire    *wire        // nil until the connection is open
+	at      clock.Millis // instant of the permit
+	sent    clock.Millis // instant of the first byte
 }
 
 // take acquires a permit and a connection of a server; e.mu is held.
@@ -118,6 +119,7 @@
 			return fault.Wrap(fault.ErrUnknown, "send to %s twice", l.key.Name)
 		}
 	}
+	l.sent = now
 	return nil
 }
 
@@ -141,7 +143,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.ports.Clock.Now()
-	e.holder.Release(now, l.key, end.whole || !end.sent, c.until)
+	lastRun := permit.LastRun(l.sent, c.until)
+	e.holder.Release(now, l.key, end.whole || !end.sent, lastRun)
 	switch {
 	case l.wire == nil:
 		e.holder.Disconnect(now, l.key, now)
@@ -152,7 +155,7 @@
 	case end.whole || !end.sent:
 		e.shut(now, l.wire, now+CloseTime)
 	default:
-		e.shut(now, l.wire, c.until+max(0, c.until-now).Percent(permit.DriftPercent))
+		e.shut(now, l.wire, lastRun)
 	}
 	e.noteEnd(now, c, l, end)
 }
--- a/vbridged/entry/run.go
+++ b/vbridged/entry/run.go
@@ -48,16 +48,10 @@
 	e.sweep(now)
 	e.tickServices(now)
 	e.pump(now)
-	if len(e.fresh) == 0 && !beacon {
+	list := e.outbox.Take(now)
+	if len(list) == 0 && !beacon {
 		return
 	}
-	list := make([]member.Relayed, 0, len(e.fresh))
-	for k, a := range e.fresh {
-		if s, ok := e.members.Get(k); ok {
-			list = append(list, member.Relayed{Announce: a, Age: now - s.Evidence})
-		}
-	}
-	clear(e.fresh)
 	for _, p := range e.set.Peers {
 		e.ports.Relay.Send(p, e.links.Wrap(now, p, list))
 	}
--- a/vbridged/entry/serve.go
+++ b/vbridged/entry/serve.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"vanillabridge/core/clock"
@@ -37,6 +35,7 @@
 	defer cancel()
 	e.count(c)
 	body := newBody(w, r, e.set.BodySize)
+	defer body.finish()
 	e.run(ctx, w, r, c, body)
 }
 
@@ -131,7 +130,7 @@
 		h[proto.HeaderKey] = []string{c.key.Key}
 	}
 	return &http.Request{
-		Method: r.Method, URL: u, Host: r.Host, Header: h, Body: body.reader(),
+		Method: r.Method, URL: u, Host: r.Host, Header: h, Body: body.open(),
 		ContentLength: r.ContentLength, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}, nil
 }
@@ -150,51 +149,5 @@
 	e.ports.Events.Record(ev)
 }
 
-// body is the body of a caller's request.
-type body struct {
-	control *http.ResponseController
-	from    io.ReadCloser
-	used    atomic.Bool // a part was read
-	ended   atomic.Bool // it was read to its end
-	empty   bool
-}
-
-func newBody(w http.ResponseWriter, r *http.Request, limit int64) *body {
-	b := &body{control: http.NewResponseController(w), empty: r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0}
-	if !b.empty {
-		b.from = http.MaxBytesReader(w, r.Body, limit)
-		_ = b.control.EnableFullDuplex()
-	}
-	return b
-}
-
-func (b *body) reader() io.ReadCloser {
-	if b.empty {
-		return http.NoBody
-	}
-	return io.NopCloser(readerFunc(func(p []byte) (int, error) {
-		b.used.Store(true)
-		n, err := b.from.Read(p)
-		if errors.Is(err, io.EOF) {
-			b.ended.Store(true)
-		}
-		return n, err
-	}))
-}
-
-// intact reports whether the body can be sent from its start.
-func (b *body) intact() bool { return b.empty || !b.used.Load() }
-
-// abandon makes a blocked read of the body fail.
-func (b *body) abandon() {
-	if !b.empty {
-		_ = b.control.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-type readerFunc func(p []byte) (int, error)
-
-func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
-
 // errAborted says that the answer must not look whole.
 var errAborted = errors.New("answer aborted")
