vbstand: record stalls of the machine; count a request until its last byte

In a run of make demo at a load average of 43 on 10 cores, backend servers did not run for a second, and the check blamed the daemon for answers that came too late.

A slow answer kept its slot for one service time after its last byte; the last byte now leaves after the request has stopped counting.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -2,7 +2,8 @@
 # Runs a cell of three availability zones on loopback: 7 daemons, 12 workers and 6 backend
 # servers. Submits a configuration, runs a service, a batch and a gang, sends requests with
 # and without floods, stops everything gracefully and prints the report. The status is 0 only
-# if no promise was broken. BIN is the folder of the built programs.
+# if no promise was broken. BIN is the folder of the built programs; KEEP may name a folder to
+# which logs and journals are copied at the end.
 set -euo pipefail
 
 bin=${BIN:?BIN is not set to the folder of the built programs}
@@ -59,6 +60,7 @@
   done
   for name in "${!pids[@]}"; do kill -KILL "${pids[$name]}" 2>/dev/null || true; done
   wait || true
+  if [[ -n ${KEEP:-} ]]; then cp -r "$dir/." "$KEEP"; fi
   rm -rf "$dir"
   exit "$status"
 }
--- a/vbstand/audit/event.go
+++ b/vbstand/audit/event.go
@@ -64,6 +64,13 @@
 	})
 }
 
+// stalled reports whether the machine did not run a backend server or the caller during a send.
+func (l *journals) stalled(s record.Send) bool {
+	return slices.ContainsFunc(l.events, func(e record.Event) bool {
+		return e.Event == record.EventStall && e.Time >= s.Start && e.Time-e.Length <= s.End
+	})
+}
+
 // stopped reports whether a planned stop of the entry instance explains that a send found
 // no connection, or lost an idle one before any answer.
 func (l *journals) stopped(s record.Send) bool {
--- a/vbstand/caller/caller.go
+++ b/vbstand/caller/caller.go
@@ -79,6 +79,7 @@
 func (c *Caller) Run(ctx context.Context) []record.Send {
 	ctx, cancel := context.WithTimeout(ctx, c.opt.Time)
 	defer cancel()
+	go c.journal.Stalls(ctx, string(c.opt.Name))
 	requests := make(chan request)
 	var group sync.WaitGroup
 	for range c.opt.Workers {
--- a/vbstand/record/record.go
+++ b/vbstand/record/record.go
@@ -191,7 +191,7 @@
 	Reason   string       `json:"reason,omitempty"`
 }
 
-// EventKind is something that the test did to a process.
+// EventKind is something that happened to a process from outside.
 type EventKind string
 
 // The events.
@@ -205,14 +205,16 @@
 	EventCut   EventKind = "cut"   // cut off from other zones
 	EventHeal  EventKind = "heal"  // no longer cut off
 	EventWipe  EventKind = "wipe"  // data folder removed
+	EventStall EventKind = "stall" // not run by the machine for the time Length up to Time
 )
 
-// Event is something that the test did to a process. Name is the name of an instance, a
+// Event is something that happened to a process from outside. Name is the name of an instance, a
 // worker or a backend server.
 type Event struct {
 	Event  EventKind `json:"event"`
 	Name   string    `json:"name"`
 	Entry  string    `json:"entry,omitempty"` // HTTP address of an instance
 	Time   Micros    `json:"time"`
+	Length Micros    `json:"length,omitempty"`
 	Status int       `json:"status,omitempty"`
 }
--- a/vbstand/server/handle.go
+++ b/vbstand/server/handle.go
@@ -107,8 +107,7 @@
 	if fault == FaultError {
 		// The answer verifies although it reports a failure: it is whole and belongs to the request.
 		w.WriteHeader(http.StatusInternalServerError)
-		_, err := w.Write(answer)
-		return err
+		return send(w, answer)
 	}
 	time.Sleep(s.opt.Time)
 	switch fault {
@@ -117,9 +116,18 @@
 	case FaultSlow:
 		return sendSlowly(w, answer, s.opt.Time)
 	default:
-		_, err := w.Write(answer)
+		return send(w, answer)
+	}
+}
+
+// send sends the last byte apart. It stays in the buffer of net/http until the handler has
+// returned, so that a request no longer counts as in progress once its answer is whole.
+func send(w http.ResponseWriter, answer []byte) error {
+	if _, err := w.Write(answer[:len(answer)-1]); err != nil {
 		return err
 	}
+	_, err := w.Write(answer[len(answer)-1:])
+	return err
 }
 
 // sendHalf sends the first half of the answer and ends the connection.
@@ -146,13 +154,16 @@
 	control := http.NewResponseController(w)
 	for i := range pieces {
 		from, to := len(answer)*i/pieces, len(answer)*(i+1)/pieces
+		time.Sleep(serviceTime)
+		if i == pieces-1 {
+			return send(w, answer[from:to])
+		}
 		if _, err := w.Write(answer[from:to]); err != nil {
 			return err
 		}
 		if err := control.Flush(); err != nil {
 			return err
 		}
-		time.Sleep(serviceTime)
 	}
 	return nil
 }
--- a/vbstand/server/server.go
+++ b/vbstand/server/server.go
@@ -88,6 +88,7 @@
 	stop, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	go s.announceLoop(stop)
+	go s.journal.Stalls(stop, string(s.opt.Name))
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve on %s: %w", s.address, err)
