sched: make the scheduler anew when a service changes

A service that was scaled down and up again did not get its tasks back, because core/place ignores tasks that it has ended, and a new size did not reach it. The scheduler is now made anew from the state, and takes over what the last one had learned of use and run times. TestServiceFollowsItsDescription fails without it (1 task runs, want 3).

--- a/core/place/params.go
+++ b/core/place/params.go
@@ -119,6 +119,8 @@
 type Config struct {
 	Zone model.Zone
 	Seed uint64 // of the random choice among equal candidates
+	// Learned is what an earlier scheduler of the zone has learned; it may be empty.
+	Learned Learned
 }
 
 func usable(size model.Size) model.Size {
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -64,6 +64,7 @@
 	for _, u := range model.Urgencies() {
 		s.classes[u].urgency = u
 	}
+	s.inherit(config.Learned)
 	s.later.less = func(a, b *task) bool {
 		if a.after != b.after {
 			return a.after < b.after
--- a/vbridged/sched/change.go
+++ b/vbridged/sched/change.go
@@ -26,7 +26,13 @@
 	}
 }
 
+// jobAdded hands a new job to the scheduler. A service with a new description may have tasks
+// back that the scheduler has ended, so the scheduler is made anew.
 func (l *lead) jobAdded(now clock.Millis, id model.JobID) {
+	if l.known[id] {
+		l.stale = true
+		return
+	}
 	l.options.State.View(func(z *state.Zone) {
 		if job, ok := z.Job(id); ok {
 			l.submit(now, job)
--- a/vbridged/sched/lead.go
+++ b/vbridged/sched/lead.go
@@ -31,7 +31,8 @@
 	next    batch                     // decisions of this round
 	flying  uint64                    // number of the batch in flight, 0 for none
 	placing map[attempt]struct{}      // assignments in flight
-	stale   bool                      // the log holds an assignment that was not decided here
+	stale   bool                      // the scheduler has to be made anew from the state
+	known   map[model.JobID]bool      // services that the scheduler has
 	expired clock.Millis              // when old records were last forgotten
 	config  config
 }
@@ -40,12 +41,13 @@
 	l := &lead{
 		runner:  r,
 		epoch:   epoch,
-		place:   place.New(place.Config{Zone: r.options.Zone, Seed: r.options.Seed}),
+		place:   place.New(place.Config{Zone: r.options.Zone, Seed: r.options.Seed, Learned: r.learned}),
 		keeper:  lease.NewKeeper(epoch, r.options.Lease),
 		workers: map[model.WorkerID]*worker{},
 		orders:  map[model.TaskID]place.Order{},
 		ends:    map[attempt]proto.TaskEnd{},
 		placing: map[attempt]struct{}{},
+		known:   map[model.JobID]bool{},
 	}
 	l.options.Events.Record(trace.EpochChanged{Subject: trace.Subject{Zone: r.options.Zone}, Epoch: epoch})
 	l.restore(now)
@@ -69,6 +71,9 @@
 	if j.Open == 0 {
 		return
 	}
+	if j.Work.Service != nil {
+		l.known[j.ID] = true
+	}
 	event := place.Submit{Job: j.ID, Work: j.Work.Work()}
 	var dropped []int
 	for i := range j.Tasks {
--- a/vbridged/sched/sched.go
+++ b/vbridged/sched/sched.go
@@ -11,6 +11,7 @@
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
 	"vanillabridge/core/model"
+	"vanillabridge/core/place"
 	"vanillabridge/core/proto"
 	"vanillabridge/core/state"
 )
@@ -152,7 +153,8 @@
 	*Scheduler
 	ctx     context.Context
 	lead    *lead
-	batches uint64 // number of the last batch
+	learned place.Learned // by earlier leaderships of this process
+	batches uint64        // number of the last batch
 }
 
 func (r *runner) now() clock.Millis { return r.options.Clock.Now() }
@@ -237,6 +239,7 @@
 		return
 	}
 	r.lead.close()
+	r.learned = r.lead.place.Learned()
 	r.lead = nil
 	r.workers.Store(0)
 }
--- a/vbridged/sched/sched_test.go
+++ b/vbridged/sched/sched_test.go
@@ -288,3 +288,47 @@
 		})
 	}
 }
+
+// Guards against a service that is scaled down and up again and does not get its tasks back,
+// or keeps the size that it had before.
+func TestServiceFollowsItsDescription(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t)
+		w := &worker{cell: c, name: "a", life: 1}
+		id := state.ServiceJob("s", "z")
+		for _, count := range []int{3, 1, 3} {
+			s := model.Service{Base: model.Base{Name: "s", Zones: []model.Zone{"z"}, Count: count, Size: model.Size{CPU: 100, Memory: 100}}}
+			if _, err := c.Propose(t.Context(), state.AddJob{Job: id, Work: model.NewBox(s), Count: count, At: c.source.Now()}); err != nil {
+				t.Fatal(err)
+			}
+			if !w.until(2*time.Minute, func() bool { w.obey(); return w.runs() == count }) {
+				t.Fatalf("%d tasks run, want %d", w.runs(), count)
+			}
+		}
+	})
+}
+
+// obey starts and stops tasks as the last answer says.
+func (w *worker) obey() {
+	w.ends = nil
+	w.held = nil
+	for _, a := range w.reply.Tasks {
+		if a.Command == proto.CommandStop {
+			w.ends = append(w.ends, proto.TaskEnd{Task: a.Task, Attempt: a.Attempt, End: proto.EndStopped})
+			continue
+		}
+		w.held = append(w.held, proto.Held{Task: a.Task, Attempt: a.Attempt, Phase: proto.PhaseRunning, Usage: model.Size{CPU: 100, Memory: 100}})
+	}
+}
+
+func (w *worker) runs() int {
+	running := 0
+	w.cell.zone.View(func(z *state.Zone) {
+		z.Held(w.name, func(_ model.TaskID, t *state.Task) {
+			if t.Phase == proto.TaskRunning {
+				running++
+			}
+		})
+	})
+	return running
+}
