--- a/vbridged/peer/link.go
+++ b/vbridged/peer/link.go
@@ -15,14 +15,16 @@
 	"vanillabridge/core/fault"
 )
 
-// Timeouts of a connection. A cut is noticed after pingEvery + pingTimeout.
+// Timeouts of a connection. A cut is noticed after one period of pings and pingTimeout. Pings
+// across regions are paid for, so there are fewer of them.
 const (
 	dialTimeout  = 2 * time.Second
 	redialPause  = 200 * time.Millisecond
 	acceptPause  = 100 * time.Millisecond
-	pingEvery    = time.Second
+	pingLocal    = time.Second
+	pingAcross   = 4 * time.Second
 	pingTimeout  = 2 * time.Second
-	readTimeout  = 5 * time.Second
+	readTimeout  = 10 * time.Second
 	writeTimeout = 2 * time.Second
 )
 
@@ -124,7 +126,11 @@
 // of both sides from passing on a quiet connection.
 func (l *link) ping(c *jsonrpc2.Conn, failed chan<- struct{}) {
 	defer close(failed)
-	ticker := time.NewTicker(pingEvery)
+	period := pingLocal
+	if l.net.crosses(l.to.Region) {
+		period = pingAcross
+	}
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
