Let an answer to a worker say that its list of tasks is the reported one

A worker with 20 tasks exchanged 4459 bytes of bodies a sync, 8.9 KB/s at two syncs a second, of a budget of 11 KB/s; half of that repeated what the worker had just reported. The answer can now refer to the report of its request.

Ruled out: a longer interval of syncs, because reports of use get older with it.

--- /dev/null
+++ b/core/lease/same_test.go
@@ -0,0 +1,50 @@
+package lease_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/lease"
+	"vanillabridge/core/model"
+	"vanillabridge/core/proto"
+)
+
+// Guards against an answer that refers to a report and is taken to mean what the worker holds
+// by then: the task that came in between was moved, and would run in two places.
+func TestSameMeansTheReport(t *testing.T) {
+	w := lease.New(lease.Config{Worker: "w", Incarnation: 1})
+	task := model.TaskID{Job: "a/1"}
+	w.Step(0, lease.Tick{})
+	w.Step(500, lease.Tick{})
+	assign := proto.SyncReply{Epoch: 1, Seq: 1, Lease: lease.Time, Tasks: []proto.Assigned{{Task: task, Attempt: 1, Command: proto.CommandRun}}}
+	if got := w.Step(600, lease.Reply{Sent: 0, Body: assign}); len(got) != 1 {
+		t.Fatalf("the late answer to the first request gave %v, want one start", got)
+	}
+	same := proto.SyncReply{Epoch: 1, Seq: 2, Lease: lease.Time, Same: true}
+	got := w.Step(700, lease.Reply{Sent: 500, Body: same})
+	want := []lease.Output{lease.Stop{Task: task, Attempt: 1, Reason: "not assigned"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("answer to the second request (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an answer that refers to a report and leaves a newer command in force.
+func TestSameRestoresReportedCommand(t *testing.T) {
+	w := lease.New(lease.Config{Worker: "w", Incarnation: 1})
+	task := model.TaskID{Job: "a/1"}
+	at := func(now clock.Millis, command proto.Command) proto.SyncReply {
+		return proto.SyncReply{Epoch: 1, Seq: uint64(now / 500), Lease: lease.Time, Tasks: []proto.Assigned{{Task: task, Attempt: 1, Command: command}}}
+	}
+	w.Step(500, lease.Tick{})
+	w.Step(510, lease.Reply{Sent: 500, Body: at(500, proto.CommandRun)})
+	w.Step(1000, lease.Tick{})
+	w.Step(1500, lease.Tick{})
+	w.Step(1510, lease.Reply{Sent: 1000, Body: at(1000, proto.CommandThrottle)})
+	got := w.Step(1520, lease.Reply{Sent: 1500, Body: proto.SyncReply{Epoch: 1, Seq: 3, Lease: lease.Time, Same: true}})
+	want := []lease.Output{lease.Resume{Task: task, Attempt: 1}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("answer to the third request (-want +got):\n%s", diff)
+	}
+}
--- a/core/lease/single_test.go
+++ b/core/lease/single_test.go
@@ -193,6 +193,9 @@
 		c.feed(place.WorkerReport{Worker: req.Worker, Incarnation: req.Incarnation, Rack: req.Rack, Size: req.Size, Held: req.Held})
 		c.keeper.Answered(c.now, req.Worker)
 		reply.Tasks = c.tasks(req)
+		if proto.IsSame(req.Held, reply.Tasks) {
+			reply.Same, reply.Tasks = true, nil
+		}
 	}
 	c.send(flight{node: f.node, inc: f.inc, sent: f.sent, reply: &reply})
 }
--- a/core/lease/worker.go
+++ b/core/lease/worker.go
@@ -19,6 +19,9 @@
 	// endedKept is the time for which a confirmed attempt is remembered. No answer that is taken
 	// later was computed before the confirmation, because answers older than replyAge are dropped.
 	endedKept = 10 * clock.Second
+	// reportsKept is the number of requests whose report is remembered. Answers to older ones
+	// have exceeded replyAge, or a newer one was taken.
+	reportsKept = int(replyAge/syncSoon) + 1
 )
 
 // Config describes one life of a worker.
@@ -44,9 +47,16 @@
 	held    map[model.TaskID]*held
 	ends    []proto.TaskEnd // not confirmed
 	ended   map[attempt]clock.Millis
+	reports []reported // of the last requests, newest last
 	out     []Output
 }
 
+// reported is what a request said that the worker holds. An answer can refer to it.
+type reported struct {
+	seq   uint64
+	tasks []proto.Assigned
+}
+
 type attempt struct {
 	task   model.TaskID
 	number int
@@ -135,8 +145,18 @@
 func (w *Worker) request() proto.SyncRequest {
 	c := w.config
 	list := make([]proto.Held, 0, len(w.held))
+	tasks := make([]proto.Assigned, 0, len(w.held))
 	for _, h := range w.sorted() {
-		list = append(list, h.report)
+		report := h.report
+		if h.command != proto.CommandRun {
+			report.Command = h.command
+		}
+		list = append(list, report)
+		tasks = append(tasks, proto.Assigned{Task: report.Task, Attempt: report.Attempt, Command: h.command})
+	}
+	w.reports = append(w.reports, reported{seq: w.seq, tasks: tasks})
+	if len(w.reports) > reportsKept {
+		w.reports = slices.Delete(w.reports, 0, 1)
 	}
 	return proto.SyncRequest{
 		Worker: c.Worker, Incarnation: c.Incarnation, Zone: c.Zone, Rack: c.Rack, Size: c.Size,
@@ -164,8 +184,12 @@
 	w.epoch, w.taken = in.Body.Epoch, in.Body.Seq
 	w.expires = in.Sent + in.Body.Lease
 	w.confirm(now, in.Body.Confirms)
-	wanted := make(map[model.TaskID]int, len(in.Body.Tasks))
-	for _, a := range in.Body.Tasks {
+	tasks := in.Body.Tasks
+	if in.Body.Same {
+		tasks = w.reportOf(in.Body.Seq)
+	}
+	wanted := make(map[model.TaskID]int, len(tasks))
+	for _, a := range tasks {
 		wanted[a.Task] = a.Attempt
 	}
 	for _, h := range w.sorted() {
@@ -173,11 +197,21 @@
 			w.stop(h, "not assigned")
 		}
 	}
-	for _, a := range in.Body.Tasks {
+	for _, a := range tasks {
 		w.hold(a)
 	}
 }
 
+// reportOf returns what the request with that number reported.
+func (w *Worker) reportOf(seq uint64) []proto.Assigned {
+	for _, r := range w.reports {
+		if r.seq == seq {
+			return r.tasks
+		}
+	}
+	return nil // not remembered: holding nothing is always safe
+}
+
 func (w *Worker) hold(a proto.Assigned) {
 	h, ok := w.held[a.Task]
 	if !ok {
--- a/core/proto/worker.go
+++ b/core/proto/worker.go
@@ -46,8 +46,9 @@
 	Task    model.TaskID `json:"task"`
 	Attempt int          `json:"attempt"`
 	Phase   Phase        `json:"phase"`
-	Usage   model.Size   `json:"usage"`           // measured use, averaged since the last report
-	Saved   int          `json:"saved,omitempty"` // progress in percent at the last checkpoint
+	Command Command      `json:"command,omitempty"` // in force; empty stands for CommandRun
+	Usage   model.Size   `json:"usage"`             // measured use, averaged since the last report
+	Saved   int          `json:"saved,omitempty"`   // progress in percent at the last checkpoint
 }
 
 // TaskEnd is the outcome of a task, kept by the worker until it is confirmed.
@@ -91,12 +92,38 @@
 }
 
 // SyncReply answers a SyncRequest. The list of tasks is complete: what it does not name
-// must stop.
+// must stop. With Same, the list is what the request reported.
 type SyncReply struct {
 	Epoch    model.Epoch  `json:"epoch"`
 	Seq      uint64       `json:"seq"`   // of the request that it answers
 	Lease    clock.Millis `json:"lease"` // counted from the moment the request was sent
-	Tasks    []Assigned   `json:"tasks"`
-	Confirms []Confirm    `json:"confirms"`
+	Same     bool         `json:"same,omitempty"`
+	Tasks    []Assigned   `json:"tasks,omitempty"`
+	Confirms []Confirm    `json:"confirms,omitempty"`
 	Leader   string       `json:"leader,omitempty"` // HTTP address of the zone leader, to sync with directly
 }
+
+// IsSame reports whether the tasks are those that a worker reported, under the same commands.
+func IsSame(held []Held, tasks []Assigned) bool {
+	if len(held) != len(tasks) {
+		return false
+	}
+	wanted := make(map[Confirm]Command, len(tasks))
+	for _, a := range tasks {
+		wanted[Confirm{a.Task, a.Attempt}] = a.Command
+	}
+	for _, h := range held {
+		if c, ok := wanted[Confirm{h.Task, h.Attempt}]; !ok || c != h.InForce() {
+			return false
+		}
+	}
+	return true
+}
+
+// InForce returns the command that the task is under.
+func (h Held) InForce() Command {
+	if h.Command == "" {
+		return CommandRun
+	}
+	return h.Command
+}
--- a/vbridged/sched/worker.go
+++ b/vbridged/sched/worker.go
@@ -149,6 +149,9 @@
 	reply := proto.SyncReply{Epoch: l.epoch, Seq: i.request.Seq, Lease: l.options.Lease, Leader: l.options.Address}
 	l.options.State.View(func(z *state.Zone) {
 		reply.Tasks = l.assigned(z, w, i.request)
+		if proto.IsSame(i.request.Held, reply.Tasks) {
+			reply.Same, reply.Tasks = true, nil
+		}
 		reply.Confirms = confirms(z, w, i.request)
 	})
 	i.reply <- syncResult{reply: reply}
