--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -235,11 +235,15 @@
 	First   uint64
 	Last    uint64
 	Members Membership
+	// Until is when a leader steps down unless a majority answers before, by the replica's clock.
+	Until clock.Millis
+	// Sending says that a snapshot is on its way to a follower.
+	Sending bool
 }
 
 // State returns the observable state.
 func (n *Node) State() State {
-	return State{
+	s := State{
 		Leader:  n.role == leader,
 		Known:   n.known,
 		Term:    n.hard.Term,
@@ -249,6 +253,13 @@
 		Last:    n.log.last(),
 		Members: n.members(),
 	}
+	if n.role == leader {
+		s.Until = n.majoritySent(n.lead.since) + n.cfg.Timing.Election
+	}
+	for _, p := range n.peers {
+		s.Sending = s.Sending || p.transfer != nil
+	}
+	return s
 }
 
 // MetaAt describes a snapshot of the machine after the entry at index.
--- a/vbridged/group/apply.go
+++ b/vbridged/group/apply.go
@@ -34,7 +34,7 @@
 				return
 			}
 		}
-		if a.entries >= g.cfg.SnapshotEntries || a.bytes >= g.cfg.SnapshotBytes {
+		if g.snapshotDue(a) {
 			if err := g.snapshot(); err != nil {
 				klog.ErrorS(err, "replica stops because a snapshot failed", "group", g.cfg.Group, "self", g.self.String())
 				g.fail(err)
@@ -45,6 +45,21 @@
 	}
 }
 
+// snapshotDue puts a snapshot off while an older one is being sent, because the transfer would
+// start again, but not without a bound on the log.
+func (g *Group) snapshotDue(a applier) bool {
+	times := uint64(1)
+	g.mu.Lock()
+	if g.state.Sending {
+		times = maxPostponed
+	}
+	g.mu.Unlock()
+	return a.entries >= times*g.cfg.SnapshotEntries || a.bytes >= times*g.cfg.SnapshotBytes
+}
+
+// maxPostponed is how many times longer than usual the log may grow during a transfer.
+const maxPostponed = 4
+
 func (g *Group) applyItem(a *applier, it applyItem) error {
 	if it.install != nil {
 		if err := g.cfg.Machine.Restore(it.install.Data); err != nil {
--- a/vbridged/group/config.go
+++ b/vbridged/group/config.go
@@ -56,7 +56,7 @@
 	Machine   Machine
 	Transport Transport
 	Forwarder Forwarder
-	// OnRole is called in order from one goroutine; it may be nil.
+	// OnRole is called in order from one goroutine; it may be nil and must not call Close.
 	OnRole func(Role)
 	// Clock is the system clock if nil.
 	Clock clock.Source
--- a/vbridged/group/propose.go
+++ b/vbridged/group/propose.go
@@ -68,16 +68,16 @@
 	case <-w.done:
 		return w.result, w.err
 	case <-ctx.Done():
-		return nil, g.abandon(w, context.Cause(ctx))
+		return g.abandon(w, context.Cause(ctx))
 	case <-g.done:
-		return nil, g.abandon(w, g.Err())
+		return g.abandon(w, g.Err())
 	}
 }
 
 // abandon tells what is known about a proposal whose caller stops waiting.
-func (g *Group) abandon(w *waiter, cause error) error {
+func (g *Group) abandon(w *waiter, cause error) ([]byte, error) {
 	if w.taken.CompareAndSwap(false, true) {
-		return fault.Wrap(fault.ErrUnavailable, "proposal to group %q was withdrawn: %v", g.cfg.Group, cause)
+		return nil, fault.Wrap(fault.ErrUnavailable, "proposal to group %q was withdrawn: %v", g.cfg.Group, cause)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -89,10 +89,10 @@
 	}
 	select {
 	case <-w.done:
-		return w.err
+		return w.result, w.err
 	default:
 	}
-	return fault.Wrap(fault.ErrUnknown, "proposal to group %q: %v", g.cfg.Group, cause)
+	return nil, fault.Wrap(fault.ErrUnknown, "proposal to group %q: %v", g.cfg.Group, cause)
 }
 
 // admit takes a proposal from its caller, unless the caller has given up.
@@ -143,6 +143,9 @@
 	if err == nil {
 		return res, nil
 	}
+	if errors.Is(err, fault.ErrStopped) {
+		return nil, fault.Wrap(fault.ErrUnavailable, "forward to %q: %v", to, err)
+	}
 	for _, sure := range []error{fault.ErrNotLeader, fault.ErrUnavailable, fault.ErrOverloaded, fault.ErrTooLarge, fault.ErrUnknown} {
 		if errors.Is(err, sure) {
 			return nil, fault.Wrap(err, "forward to %q", to)
--- a/vbridged/group/status.go
+++ b/vbridged/group/status.go
@@ -56,10 +56,15 @@
 }
 
 // Leader returns the known leader, the current term and whether this replica leads.
+//
+// A process that was paused may still be marked as leader, so the time by which a majority must
+// have answered is checked here again.
 func (g *Group) Leader() (name string, term uint64, mine bool) {
+	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return string(g.state.Known.Name), g.state.Term, g.state.Leader && g.err == nil
+	mine = g.state.Leader && g.err == nil && now <= g.state.Until
+	return string(g.state.Known.Name), g.state.Term, mine
 }
 
 func (g *Group) countSend(m quorum.Message) {
