--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -184,8 +184,13 @@
 		return
 	}
 	n.resetDeadline()
-	if n.isVoter(n.cfg.Self) {
-		n.campaign(preCandidate, false)
+	if !n.isVoter(n.cfg.Self) {
+		return
+	}
+	n.campaign(preCandidate, false)
+	if !n.isWitness() {
+		// The promise to the old leader has ended, so a campaign that fails is repeated sooner.
+		n.deadline = n.now + n.cfg.Timing.Election/4 + n.jitter()
 	}
 }
 
@@ -199,7 +204,12 @@
 			wait += n.cfg.Timing.Lazy
 		}
 	}
-	n.deadline = n.now + wait + clock.Millis(n.rng.Int64N(int64(n.cfg.Timing.Election)))
+	n.deadline = n.now + wait + n.jitter()
+}
+
+// jitter keeps replicas from standing at the same time.
+func (n *Node) jitter() clock.Millis {
+	return clock.Millis(n.rng.Int64N(int64(n.cfg.Timing.Election / 2)))
 }
 
 func (n *Node) members() Membership { return n.configs[len(n.configs)-1].members }
@@ -227,11 +237,15 @@
 	Members Membership
 	// Lease is the instant until which no other replica can become leader; 0 without a lease.
 	Lease clock.Millis
+	// Until is when a leader steps down unless a majority answers before, by the replica's clock.
+	Until clock.Millis
+	// Sending says that a snapshot is on its way to a follower.
+	Sending bool
 }
 
 // State returns the observable state.
 func (n *Node) State() State {
-	return State{
+	s := State{
 		Leader:  n.role == leader,
 		Known:   n.known,
 		Term:    n.hard.Term,
@@ -242,6 +256,13 @@
 		Members: n.members(),
 		Lease:   n.leaseEnd(),
 	}
+	if n.role == leader {
+		s.Until = n.majoritySent(n.lead.since) + n.cfg.Timing.Election
+	}
+	for _, p := range n.peers {
+		s.Sending = s.Sending || p.transfer != nil
+	}
+	return s
 }
 
 // MetaAt describes a snapshot of the machine after the entry at index.
