place: let a gang that waits long take over reservations of single tasks

Change: after 10 s a gang may reserve workers that are reserved for single tasks; their reservations end.

--- a/core/place/params.go
+++ b/core/place/params.go
@@ -68,6 +68,8 @@
 	gangEvery = 200 * clock.Millisecond
 	// reserveAfter is how long a unit waits before workers are reserved for it.
 	reserveAfter = 2 * clock.Second
+	// gangPatience is how long a gang leaves the reservations of single tasks alone.
+	gangPatience = 10 * clock.Second
 	// replanAfter is how long a reservation may be late before it is planned anew.
 	replanAfter = 30 * clock.Second
 	// preemptEvery bounds how often a task is preempted.
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -26,6 +26,9 @@
 
 func (s *Scheduler) book(r *reservation) {
 	for _, h := range r.holds {
+		if h.w.reserved != nil {
+			s.release(h.w.reserved)
+		}
 		h.w.reserved, h.w.held = r, h.amount
 	}
 	s.reserved[r.unit] = r
@@ -219,7 +222,7 @@
 // openings adds the times at which the worker gets room for tasks of the unit, as its tasks end.
 func (s *Scheduler) openings(now clock.Millis, list []opening, w *worker, t *task, need model.Size, count int) []opening {
 	j := t.job
-	if w.reserved != nil || w.health.suspended || j.avoids(now, w) || !j.kind.base(j.base.Size).Fits(w.size) {
+	if !w.reservable(now, t) || w.health.suspended || j.avoids(now, w) || !j.kind.base(j.base.Size).Fits(w.size) {
 		return list
 	}
 	n := clamp(need, w)
@@ -240,6 +243,16 @@
 	return list
 }
 
+// reservable reports whether the worker may be reserved for the unit. A gang that has waited long
+// takes workers over from single tasks, whose reservations could else cover the fleet for ever.
+func (w *worker) reservable(now clock.Millis, t *task) bool {
+	r := w.reserved
+	if r == nil {
+		return true
+	}
+	return t.job.gang && !r.unit.job.gang && now-max(t.accepted, t.after) >= gangPatience
+}
+
 // eachSampled visits up to most workers, starting at a random rack.
 func (s *Scheduler) eachSampled(most int, f func(*worker)) {
 	count := len(s.racks)
