server: not ready until the permits can be used

An instance serves no request for 10.5 s after its start, because requests of an earlier life may still run on backend servers, but it reported ready and the balancer sent it callers: in make demo requests of the first seconds waited up to 3.1 s. It is now not ready during that time. A single voter no longer waits 2 s for somebody to take over its groups.

--- a/vbridged/server/server.go
+++ b/vbridged/server/server.go
@@ -52,6 +52,7 @@
 	drain     chan struct{} // closed when a planned stop was asked for
 	draining  atomic.Bool
 	joined    atomic.Bool // see caughtUp
+	started   clock.Millis
 }
 
 // Options are what a Server needs besides its settings.
@@ -83,6 +84,7 @@
 		cell:      cell.NewReplica(),
 		witnesses: map[string]*group.Group{},
 		drain:     make(chan struct{}),
+		started:   o.Clock.Now(),
 	}
 	s.snapshot.Store(newView(0, ""))
 	if err := s.openNet(); err != nil {
@@ -206,7 +208,7 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, g := range s.groups() {
-		if _, _, mine := g.Leader(); !mine {
+		if st := g.Status(); !st.Mine || len(st.Voters) < 2 {
 			continue
 		}
 		wait.Go(func() {
--- a/vbridged/server/status.go
+++ b/vbridged/server/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"vanillabridge/core/model"
+	"vanillabridge/core/permit"
 	"vanillabridge/core/proto"
 	"vanillabridge/core/trace"
 	"vanillabridge/vbridged/group"
@@ -51,6 +52,10 @@
 	return status
 }
 
+// reasonPermits holds for the maximum request time after a start: requests of an earlier life
+// of the instance may still run on backend servers, so its permits are not used.
+const reasonPermits = "permits: not used yet after the start"
+
 // Unready lists why the instance should get no traffic. An instance without a leader in its
 // zone still serves callers on its floor of permits.
 func (s *Server) Unready() []string {
@@ -64,6 +69,9 @@
 	if !s.caughtUp() {
 		reasons = append(reasons, "config: not caught up")
 	}
+	if s.clock.Now() < s.started+permit.WithDrift(permit.RequestTime) {
+		reasons = append(reasons, reasonPermits)
+	}
 	return reasons
 }
 
