--- a/demo/run.sh
+++ b/demo/run.sh
@@ -167,9 +167,6 @@
   done
 }
 
-# An instance uses its floor of permits only after the maximum request time of 10 s, because
-# requests from before a restart may still run.
-sleep 9
 log "sending requests"
 call base portal --count 400 --rate 100 --workers 32 --seed 1
 finish base
