--- a/core/quorum/config.go
+++ b/core/quorum/config.go
@@ -48,6 +48,7 @@
 	t := DefaultTiming()
 	t.Election = 2 * clock.Second
 	t.Heartbeat = 500 * clock.Millisecond
+	t.Stall = clock.Second
 	return t
 }
 
--- a/core/quorum/rules_test.go
+++ b/core/quorum/rules_test.go
@@ -228,3 +228,13 @@
 		}
 	}
 }
+
+// Guards against preset timings that the configuration check refuses.
+func TestPresetTimings(t *testing.T) {
+	for _, timing := range []Timing{DefaultTiming(), WideTiming()} {
+		cfg := Config{Group: "g", Self: id("a"), Peers: plain("a"), Timing: timing, Limits: DefaultLimits()}
+		if _, err := New(0, cfg, Restored{}); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/core/store/frame.go
+++ b/core/store/frame.go
@@ -137,8 +137,7 @@
 	for at < len(b) {
 		number, payload, ok := decodeFrame(b[at:], s.salt)
 		if !ok {
-			// The first frame came with the file, so it cannot be torn.
-			if s.next == s.first || laterFrame(b[at:], s.salt, s.next) {
+			if laterFrame(b[at:], s.salt, s.next) {
 				return s, fault.Wrap(fault.ErrCorrupt, "frame %d at byte %d", s.next, at)
 			}
 			s.torn = true
@@ -155,6 +154,7 @@
 		s.next++
 		at += frameHead + len(payload)
 	}
+	// The first frame came with the file, so it cannot be torn.
 	if s.next == s.first {
 		return s, fault.Wrap(fault.ErrCorrupt, "segment without a frame")
 	}
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 
@@ -166,11 +167,11 @@
 	return s.outcomes(batch), d.Write(batch)
 }
 
-func filled(t *testing.T, fs *memFS) state {
+func filled(t *testing.T, fs *memFS, count uint64) state {
 	t.Helper()
 	d := mustOpen(t, fs, 200)
 	s := state{}
-	for i := range uint64(14) {
+	for i := range count {
 		p := quorum.Persist{Hard: quorum.Hard{Term: 1 + i/4, Found: 1}, Entries: []quorum.Entry{{Index: i + 1, Term: 1 + i/4, Data: []byte(fmt.Sprint("entry", i))}}}
 		if err := d.Write([]quorum.Persist{p}); err != nil {
 			t.Fatal(err)
@@ -187,8 +188,20 @@
 // Guards against damaged bytes that are served: every byte of every file is changed in turn. Only
 // damage to the last record may look like a torn write, which costs that record.
 func TestDamageIsNeverServed(t *testing.T) {
+	// The last file holds one record in the first case, and several in the second.
+	if cuts := damage(t, 12); cuts != 0 {
+		t.Errorf("damage to %d bytes of a first record passed for a torn write", cuts)
+	}
+	if cuts := damage(t, 14); cuts == 0 || cuts > 80 {
+		t.Errorf("damage to %d bytes passed for a torn last record", cuts)
+	}
+}
+
+// damage returns for how many bytes the store opens without its last record.
+func damage(t *testing.T, count uint64) int {
+	t.Helper()
 	clean := newMemFS(1)
-	want := filled(t, clean)
+	want := filled(t, clean, count)
 	names, _ := clean.List()
 	short := want
 	short.Entries = want.Entries[:len(want.Entries)-1]
@@ -196,7 +209,7 @@
 	for _, name := range names {
 		for at := range clean.files[name].data {
 			fs := newMemFS(1)
-			filled(t, fs)
+			filled(t, fs, count)
 			fs.files[name].data[at] ^= 0x10
 			d, err := Open(fs, Limits{Segment: 200}, 7)
 			if errors.Is(err, fault.ErrCorrupt) {
@@ -211,27 +224,37 @@
 			}
 		}
 	}
-	if cuts == 0 || cuts > 80 {
-		t.Errorf("damage to %d bytes passed for a torn last record", cuts)
-	}
+	return cuts
 }
 
 // Guards against a missing file that goes unnoticed.
 func TestMissingFile(t *testing.T) {
 	clean := newMemFS(1)
-	filled(t, clean)
+	filled(t, clean, 14)
 	names, _ := clean.List()
 	slices.Sort(names)
 	last := names[slices.IndexFunc(names, func(n string) bool { return n >= "snap" })-1]
 	for _, name := range names {
 		fs := newMemFS(1)
-		filled(t, fs)
+		filled(t, fs, 14)
 		delete(fs.files, name)
 		// Nothing refers to the last log file; its loss cannot be told from a file never written.
 		if _, err := Open(fs, Limits{Segment: 200}, 7); !errors.Is(err, fault.ErrCorrupt) && name != last {
 			t.Errorf("open without %s: %v, want ErrCorrupt", name, err)
 		}
 	}
+	// A file with votes only leaves no gap between entries.
+	fs := newMemFS(1)
+	d := mustOpen(t, fs, 100)
+	for i := range uint64(8) {
+		if err := d.Write([]quorum.Persist{{Hard: quorum.Hard{Term: i + 1}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	delete(fs.files, d.segments[1].name)
+	if _, err := Open(fs, Limits{Segment: 100}, 7); !errors.Is(err, fault.ErrCorrupt) {
+		t.Errorf("open without a file of votes: %v, want ErrCorrupt", err)
+	}
 }
 
 // Guards against a replica that goes on after a failed sync or a full disk, when a later sync may
@@ -290,7 +313,8 @@
 	}
 }
 
-// Guards against two processes in one folder, and an identity that changes without a loss.
+// Guards against two processes in one folder, an identity that changes without a loss, and torn
+// bytes that stay in the file in front of the next record.
 func TestFolder(t *testing.T) {
 	dir, err := OpenDir(t.TempDir() + "/data")
 	if err != nil {
@@ -306,12 +330,25 @@
 	if err := first.Close(); err != nil {
 		t.Fatal(err)
 	}
-	again, err := Open(dir, DefaultLimits(), 8)
+	f, err := os.OpenFile(dir.path(segmentName(1)), os.O_APPEND|os.O_WRONLY, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
+	_, _ = f.WriteString("torn")
+	_ = f.Close()
+	var again *Disk
+	for term := range uint64(2) {
+		if again, err = Open(dir, DefaultLimits(), 8); err != nil {
+			t.Fatal(err)
+		}
+		if got := observe(again).Hard.Term; got != term {
+			t.Errorf("term %d after a restart, want %d", got, term)
+		}
+		if err := errors.Join(again.Write([]quorum.Persist{{Hard: quorum.Hard{Term: term + 1}}}), again.Close()); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if again.Incarnation() != 7 {
 		t.Errorf("incarnation %d after a restart, was 7", again.Incarnation())
 	}
-	_ = again.Close()
 }
