place: keep the rule of one preemption a minute over a change of leader

Blocked shapes could also stay untried while new shapes of the same team kept arriving.

Change: a task counts as preempted now if it is restored with an earlier attempt, or is stopped without an order of this leader. Blocked shapes are tried at least once a second.

Ruled out: counting every restored task as preempted, which stops preemption for a minute.

--- a/core/place/finish.go
+++ b/core/place/finish.go
@@ -35,6 +35,10 @@
 	case isFailure(e.End) && !ordered:
 		s.failedOn(now, w, t, probe, e)
 	default:
+		if !ordered {
+			// The last leader may have preempted it.
+			t.preempted = now
+		}
 		if j.service && e.End == proto.EndDone {
 			t.after = now + againAfter
 		}
--- a/core/place/fleet_test.go
+++ b/core/place/fleet_test.go
@@ -70,24 +70,26 @@
 }
 
 type fakeTask struct {
-	job      *fakeJob
-	index    int
-	attempt  int
-	worker   *fakeWorker
-	inc      model.Incarnation // of the worker, as assigned
-	accepted clock.Millis
-	first    clock.Millis // first start; -1 before
-	heard    bool
-	begins   clock.Millis
-	runs     bool
-	over     bool
-	command  proto.Command
-	use      model.Size
-	need     float64 // run time in ms
-	progress float64
-	saved    int
-	peak     model.Size
-	end      *place.Ended
+	job       *fakeJob
+	index     int
+	attempt   int
+	worker    *fakeWorker
+	inc       model.Incarnation // of the worker, as assigned
+	accepted  clock.Millis
+	first     clock.Millis // first start; -1 before
+	heard     bool
+	begins    clock.Millis
+	runs      bool
+	over      bool
+	command   proto.Command
+	use       model.Size
+	need      float64 // run time in ms
+	progress  float64
+	preempted clock.Millis
+	victim    int // attempt that was preempted last
+	saved     int
+	peak      model.Size
+	end       *place.Ended
 }
 
 type stats struct {
--- a/core/place/params.go
+++ b/core/place/params.go
@@ -64,6 +64,8 @@
 	againMost  = clock.Minute
 	// offerKept is how long an accepted offer counts as waiting.
 	offerKept = 10 * clock.Second
+	// wakeEvery is the longest time for which a blocked shape is not tried.
+	wakeEvery = clock.Second
 	// gangEvery is the time between two attempts to place a blocked gang.
 	gangEvery = 200 * clock.Millisecond
 	// reserveAfter is how long a unit waits before workers are reserved for it.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -19,6 +20,9 @@
 // watch fails the test when a decision breaks a rule that holds at all times.
 func watch(t *rapid.T, f *fleet, s *place.Scheduler) {
 	f.check = func(d place.Decision) {
+		if o, ok := d.(place.Order); ok && strings.HasPrefix(o.Reason, "preempted") {
+			f.checkVictim(t, f.task(o.Task))
+		}
 		a, ok := d.(place.Assign)
 		if !ok {
 			return
@@ -41,6 +45,18 @@
 	}
 }
 
+// checkVictim fails the test when urgent work or the same task within a minute is preempted.
+func (f *fleet) checkVictim(t *rapid.T, x *fakeTask) {
+	if x.job.base.Urgency == model.Urgent {
+		t.Fatalf("%s is preempted, which is urgent itself", x.job.id)
+	}
+	// A new leader may repeat the order for the same attempt; that stops nothing more.
+	if x.preempted != 0 && x.victim != x.attempt && f.now-x.preempted < clock.Minute {
+		t.Fatalf("%s#%d is preempted again after %s", x.job.id, x.index, f.now-x.preempted)
+	}
+	x.preempted, x.victim = f.now, x.attempt
+}
+
 func wholeGang(t *rapid.T, f *fleet, a place.Assign) {
 	j := f.jobs[a.Placements[0].Task.Job]
 	if gang, _ := timeOf(j.work); !gang {
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -67,6 +67,7 @@
 	blocked []*shape
 	held    model.Size // charged
 	waiting int
+	woken   clock.Millis
 	backlog float64 // share of the capacity times milliseconds, of waiting tasks
 }
 
@@ -215,11 +216,13 @@
 	}
 }
 
-// wake makes blocked shapes ready, in those parts in which every ready shape was tried since.
-func (s *Scheduler) wake() {
+// wake makes blocked shapes ready, in those parts in which every ready shape was tried since, and
+// in all others after wakeEvery, so that a stream of new shapes does not keep old ones blocked.
+func (s *Scheduler) wake(now clock.Millis) {
 	for i := range s.classes {
 		for _, p := range s.classes[i].teams {
-			if p.ready.empty() {
+			if p.ready.empty() || now >= p.woken+wakeEvery {
+				p.woken = now
 				p.unblock()
 			}
 		}
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -137,7 +137,7 @@
 		s.sweep(now)
 	}
 	s.updateHeadroom(now)
-	s.wake()
+	s.wake(now)
 	s.schedule(now, tickStarts, tickMisses)
 }
 
--- a/core/place/submit.go
+++ b/core/place/submit.go
@@ -50,6 +50,10 @@
 	}
 	j.tasks[in.Index] = t
 	j.open++
+	if in.Attempt > 1 || (in.Attempt == 1 && in.Placed == nil) {
+		// An earlier attempt may have been preempted a moment ago under the last leader.
+		t.preempted = now
+	}
 	if in.Placed == nil {
 		s.enqueue(now, t)
 		return
