Send the commit index with other messages

An answer to a follower's read was also held until the next step, up to a tick later.

Change: followers learn the commit index with the next entries, at the next tick, or at once when one of them reads. Answers to reads leave in the step that confirms them.

A first test of the read could not tell whether the announcement was there, since ticks come as often; TestCommitIsAnnounced drives the node by hand and fails without it.

--- a/core/quorum/lead.go
+++ b/core/quorum/lead.go
@@ -10,7 +10,8 @@
 	// since is when this replica became leader and first the index of its first entry.
 	since clock.Millis
 	first uint64
-	// announce asks for the new commit index to be sent.
+	// announce says that followers which lack the commit index get it in this step. It is set by
+	// a tick, because otherwise the next entries carry it without a message of its own.
 	announce bool
 	reads    []waitingRead
 	// target is the voter that leadership is being handed to.
@@ -101,6 +102,7 @@
 }
 
 func (n *Node) tickLeader() {
+	n.lead.announce = true
 	n.tickHandover()
 	n.tickCare()
 }
@@ -118,7 +120,6 @@
 			n.feed(m.ID, p)
 		}
 	}
-	n.lead.announce = false
 }
 
 func (n *Node) feed(id ID, p *progress) {
@@ -136,7 +137,7 @@
 		}
 		sent = true
 	}
-	if !sent && (due || n.lead.announce) {
+	if !sent && (due || p.told < n.commit && (n.lead.announce || p.asked)) {
 		n.sendEntries(id, p)
 	}
 }
@@ -160,7 +161,7 @@
 	if n.maySend(p) {
 		m.Entries = n.log.slice(p.next, n.log.last(), n.cfg.Limits.Message)
 	}
-	p.lastSend = n.now
+	p.lastSend, p.told, p.asked = n.now, n.commit, false
 	if len(m.Entries) > 0 {
 		if p.probing {
 			p.paused = true
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -144,6 +144,7 @@
 
 // finish collects the outputs of a step.
 func (n *Node) finish() []Output {
+	n.flushReads()
 	n.flushLeader()
 	n.flushPersist()
 	for n.release() {
@@ -151,8 +152,8 @@
 		n.flushPersist()
 	}
 	n.flushApply()
-	n.flushReads()
 	n.flushRole()
+	n.lead.announce = false
 	out := n.out
 	n.out = nil
 	return out
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -20,7 +20,10 @@
 	// sentAcked is the leader's clock in the newest request that the replica answered.
 	sentAcked clock.Millis
 	lastSend  clock.Millis
-	witness   bool
+	// told is the commit index that was last sent; asked says that a read waits for a newer one.
+	told    uint64
+	asked   bool
+	witness bool
 	// lazyNext is when a witness is next fed, and lazyGoal the index up to which it then is.
 	lazyNext clock.Millis
 	lazyGoal uint64
@@ -86,5 +89,4 @@
 		return
 	}
 	n.commit = index
-	n.lead.announce = true
 }
--- a/core/quorum/read.go
+++ b/core/quorum/read.go
@@ -92,8 +92,10 @@
 		n.out = append(n.out, Ready{ID: r.id, Index: r.index})
 		return
 	}
-	m := Message{Kind: KindReadReply, To: r.from, Seq: r.id, Index: r.index}
-	n.send(m)
+	if p := n.peers[r.from]; p != nil {
+		p.asked = true
+	}
+	n.send(Message{Kind: KindReadReply, To: r.from, Seq: r.id, Index: r.index})
 }
 
 func (n *Node) refuseRead(r waitingRead) {
--- a/core/quorum/rules_test.go
+++ b/core/quorum/rules_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"testing"
 
 	"vanillabridge/core/clock"
@@ -246,3 +247,27 @@
 		}
 	}
 }
+
+// Guards against a read at a follower that waits for the next tick to learn of a commit, and
+// against a message of its own for each commit.
+func TestCommitIsAnnounced(t *testing.T) {
+	b := restoredNode(t, 2)
+	b.elect()
+	b.ack("c", 2)
+	b.sent = nil
+	b.ack("b", 3)
+	if len(b.sent) > 0 {
+		t.Errorf("sent because of a commit alone: %+v", b.sent)
+	}
+	b.receive(Message{Kind: KindRead, From: id("c"), Term: b.node.hard.Term, Seq: 1})
+	told := func(m Message) bool { return m.Kind == KindAppend && m.To == id("c") && m.Commit == 3 }
+	answer := func(m Message) bool { return m.Kind == KindReadReply && !m.Reject && m.Index == 3 }
+	if !slices.ContainsFunc(b.sent, told) || !slices.ContainsFunc(b.sent, answer) {
+		t.Errorf("sent after a read: %+v", b.sent)
+	}
+	b.sent = nil
+	b.step(Tick{})
+	if len(b.sent) != 1 || b.sent[0].To != id("b") || b.sent[0].Commit != 3 {
+		t.Errorf("sent at a tick: %+v", b.sent)
+	}
+}
