--- a/vbridged/entry/attempt.go
+++ b/vbridged/entry/attempt.go
@@ -21,6 +21,9 @@
 
 // attempt sends the request once. It returns nil when the caller got an answer, and panics
 // with http.ErrAbortHandler when the answer broke off after its start.
+//
+// An attempt goes on when the caller has gone: the whole answer frees the slot, while an
+// abandoned request holds it until its deadline. A record needs the answer as well.
 func (e *Entry) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, l *lease, b *body) *refusal {
 	e.metrics.tries.Inc()
 	var end ending
@@ -28,21 +31,16 @@
 	if err := e.open(ctx, l); err != nil {
 		return c.problem(http.StatusServiceUnavailable, "no connection", err)
 	}
-	if c.flow != nil {
-		// The record needs the answer even when the caller is gone.
-		ctx = context.WithoutCancel(ctx)
-	}
 	left := c.until - e.ports.Clock.Now()
 	out, err := c.outgoing(r, b, left)
 	if err != nil {
 		return c.problem(http.StatusBadRequest, "bad request", err)
 	}
 	_ = l.wire.SetDeadline(time.Now().Add(left.Std()))
-	stop := context.AfterFunc(ctx, func() { _ = l.wire.SetDeadline(time.Unix(1, 0)) })
 	x := newExchange(l.wire, out, func() error { return e.allow(c, l) })
 	bad, err := e.converse(w, r, c, x, &end)
 	end.sent = x.gate.open.Load()
-	end.quit = !end.sent || r.Context().Err() != nil
+	end.quit = !end.sent || (!end.whole && r.Context().Err() != nil)
 	c.touched = c.touched || end.sent
 	if x.written != nil && !b.ended.Load() {
 		b.abandon()
@@ -50,7 +48,7 @@
 	}
 	x.settle()
 	unused := !end.sent || (end.whole && x.wrote && end.reuse && l.wire.reader.Buffered() == 0)
-	end.reuse = stop() && unused
+	end.reuse = unused
 	if errors.Is(err, errAborted) {
 		c.outcome, c.cause = proto.OutcomeUnknown, err.Error()
 		panic(http.ErrAbortHandler)
@@ -76,7 +74,7 @@
 		return e.deliverKept(w, r, c, resp, end)
 	}
 	e.answerHeader(w, c, resp)
-	return nil, e.stream(w, c, resp, nil, end)
+	return nil, e.stream(w, resp, nil, end)
 }
 
 // late tells a missed deadline from other failures.
@@ -127,7 +125,7 @@
 }
 
 // stream copies the rest of an answer to the caller.
-func (e *Entry) stream(w http.ResponseWriter, c *call, resp *http.Response, head []byte, end *ending) error {
+func (e *Entry) stream(w http.ResponseWriter, resp *http.Response, head []byte, end *ending) error {
 	defer func() { _ = resp.Body.Close() }()
 	buf := copyBuffers.Get().(*[copySize]byte)
 	defer copyBuffers.Put(buf)
@@ -137,7 +135,7 @@
 	if len(head) > 0 {
 		_, gone = w.Write(head)
 	}
-	for gone == nil || c.flow != nil {
+	for {
 		n, err := resp.Body.Read(buf[:])
 		total += int64(n)
 		if total > e.set.BodySize {
@@ -182,7 +180,7 @@
 	}
 	a.Body, a.Cut = nil, true
 	e.answerHeader(w, c, resp)
-	err = e.stream(w, c, resp, head, end)
+	err = e.stream(w, resp, head, end)
 	if end.whole {
 		e.finish(c, a)
 	}
--- a/vbridged/entry/call.go
+++ b/vbridged/entry/call.go
@@ -28,6 +28,7 @@
 	path       string // escaped path towards the backend server
 	route      Route
 	zones      []model.Zone
+	home       model.Zone // of the entry instance
 	caller     model.Caller
 	share      int
 	class      model.Urgency
@@ -53,7 +54,10 @@
 // parse reads what the entry instance needs from a request.
 func (e *Entry) parse(r *http.Request, now clock.Millis) (*call, *refusal) {
 	n := e.number.Add(1)
-	c := &call{id: e.prefix + strconv.FormatUint(n, 36), start: now, caller: model.Caller(r.Header.Get(proto.HeaderCaller))}
+	c := &call{
+		id: e.prefix + strconv.FormatUint(n, 36), start: now, home: e.set.Zone,
+		caller: model.Caller(r.Header.Get(proto.HeaderCaller)),
+	}
 	c.token = once.Token{Instance: e.set.Instance, Incarnation: e.set.Incarnation, Number: n}
 	c.idempotent = isIdempotent(r)
 	if bad := c.parseKey(r); bad != nil {
--- a/vbridged/entry/faults_test.go
+++ b/vbridged/entry/faults_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -313,3 +315,36 @@
 	}
 	wait.Wait()
 }
+
+// Guards against a caller who leaves and thereby blocks a slot until the deadline, and a
+// permit that is lost when a caller leaves the queue.
+func TestCallersLeave(t *testing.T) {
+	w := newWorld(t)
+	release := make(chan struct{})
+	var runs atomic.Int64
+	w.backend(t, "b1", func(rw http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		<-release
+		_, _ = io.WriteString(rw, "late")
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	for range 12 { // 4 run on the floor, the others wait
+		wait.Go(func() {
+			r := httptest.NewRequest(http.MethodGet, "/s/svc/x", nil).WithContext(ctx)
+			defer func() { _ = recover() }() // the answer to a caller who left is aborted
+			w.entry.Handler().ServeHTTP(httptest.NewRecorder(), r)
+		})
+	}
+	for runs.Load() < 4 {
+		runtime.Gosched()
+	}
+	cancel()
+	close(release)
+	wait.Wait()
+	for range 8 {
+		if got := w.call(t, http.MethodGet, "/s/svc/x", ""); got.body != "late" {
+			t.Fatalf("after callers left: %+v", got)
+		}
+	}
+}
--- a/vbridged/entry/lease.go
+++ b/vbridged/entry/lease.go
@@ -30,6 +30,7 @@
 	}
 	l := &lease{key: k, zone: zone, address: address, at: now}
 	if l.wire = e.popIdle(now, k); l.wire != nil || e.holder.Connect(now, k) {
+		e.metrics.running.Inc()
 		return l
 	}
 	e.holder.Release(now, k, true, now)
@@ -143,6 +144,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.ports.Clock.Now()
+	e.metrics.running.Dec()
 	lastRun := permit.LastRun(l.sent, c.until)
 	e.holder.Release(now, l.key, end.whole || !end.sent, lastRun)
 	switch {
--- a/vbridged/entry/ports.go
+++ b/vbridged/entry/ports.go
@@ -34,7 +34,8 @@
 }
 
 // Relay sends announcements to another instance of the zone, which passes them to
-// Entry.Receive. It must not block; a message may be lost, late or repeated.
+// Entry.Receive. It must neither block nor call the Entry; a message may be lost, late or
+// repeated.
 type Relay interface {
 	Send(to model.Instance, m member.Relay)
 }
@@ -44,7 +45,7 @@
 	Snapshot() *Snapshot
 }
 
-// Events records typed events. It must not block.
+// Events records typed events. It must neither block nor call the Entry.
 type Events interface {
 	Record(e Event)
 }
--- a/vbridged/entry/serve.go
+++ b/vbridged/entry/serve.go
@@ -124,6 +124,7 @@
 		h["User-Agent"] = []string{""} // keeps the library from adding its own
 	}
 	h[proto.HeaderRequest] = []string{c.id}
+	h[proto.HeaderZone] = []string{string(c.home)}
 	h[proto.HeaderAttempt] = []string{strconv.Itoa(c.tries)}
 	h[proto.HeaderDeadline] = []string{strconv.FormatInt(int64(left), 10)}
 	if !c.idempotent {
