--- a/vbridged/entry/entry_test.go
+++ b/vbridged/entry/entry_test.go
@@ -42,7 +42,7 @@
 		Routes: map[string]entry.Route{"svc": {}},
 	}}
 	set := entry.Settings{Instance: "e1", Incarnation: 1, Zone: "a", Entries: 1, First: true, Seed: 1}
-	e, err := entry.New(set, w.ports(), entry.NewMetrics(prometheus.NewRegistry()))
+	e, err := entry.New(set, w.ports(), newMetrics())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,6 +52,8 @@
 	return w
 }
 
+func newMetrics() *entry.Metrics { return entry.NewMetrics(prometheus.NewRegistry()) }
+
 func (w *world) ports() entry.Ports {
 	return entry.Ports{Clock: w.clock, Config: w, Records: w, Granter: w, Relay: w, Events: w}
 }
--- a/vbridged/entry/zone_test.go
+++ b/vbridged/entry/zone_test.go
@@ -13,8 +13,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
 	"vanillabridge/core/member"
@@ -113,7 +111,7 @@
 			set.Others = []model.Zone{lender.name}
 			ports.Dialer = &lender.pipes
 		}
-		e, err := entry.New(set, ports, entry.NewMetrics(prometheus.NewRegistry()))
+		e, err := entry.New(set, ports, newMetrics())
 		if err != nil {
 			t.Fatal(err)
 		}
