--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -1,7 +1,6 @@
 package admit_test
 
 import (
-	"container/heap"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -26,25 +25,6 @@
 	waited clock.Millis
 }
 
-type run struct {
-	end  clock.Millis
-	cost clock.Millis
-	lane *lane
-}
-
-type runs []run
-
-func (r runs) Len() int           { return len(r) }
-func (r runs) Less(i, j int) bool { return r[i].end < r[j].end }
-func (r runs) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
-func (r *runs) Push(x any)        { *r = append(*r, x.(run)) }
-func (r *runs) Pop() any {
-	old := *r
-	x := old[len(old)-1]
-	*r = old[:len(old)-1]
-	return x
-}
-
 type arrival struct {
 	at   clock.Millis
 	lane *lane
@@ -54,13 +34,15 @@
 func simulate(t interface{ Fatalf(string, ...any) }, slots, limit int, length clock.Millis, lanes []*lane) int {
 	q := admit.New(limit)
 	waiting := map[admit.ID]arrival{}
-	var busy runs
+	ends := map[clock.Millis][]*lane{} // running requests by their end
+	busy := 0
 	var id admit.ID
 	for now := clock.Millis(0); now < length; now++ {
-		for len(busy) > 0 && busy[0].end <= now {
-			r := heap.Pop(&busy).(run)
-			q.Ended(r.lane.flow, r.cost)
+		for _, l := range ends[now] {
+			q.Ended(l.flow, l.cost)
+			busy--
 		}
+		delete(ends, now)
 		for _, l := range lanes {
 			if now%l.pace != 0 {
 				continue
@@ -77,7 +59,7 @@
 				waiting[id] = arrival{at: now, lane: l}
 			}
 		}
-		for r, ok := q.Next(now, slots-len(busy)); ok; r, ok = q.Next(now, slots-len(busy)) {
+		for r, ok := q.Next(now, slots-busy); ok; r, ok = q.Next(now, slots-busy) {
 			a, known := waiting[r.ID]
 			if !known || now-a.at >= deadline {
 				t.Fatalf("request %d started after its verdict or deadline", r.ID)
@@ -88,7 +70,8 @@
 			l.waited += now - a.at
 			l.done++
 			l.used += l.cost
-			heap.Push(&busy, run{end: now + l.cost, cost: l.cost, lane: l})
+			ends[now+l.cost] = append(ends[now+l.cost], l)
+			busy++
 		}
 		if now%50 == 0 {
 			for _, bad := range q.Expire(now) {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -1,7 +1,6 @@
 package route_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -132,25 +131,11 @@
 type job struct{ arrived, sent clock.Millis }
 
 type done struct {
-	at     clock.Millis
 	server int
 	job    job
 	failed bool
 }
 
-type heaped []done
-
-func (h heaped) Len() int           { return len(h) }
-func (h heaped) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h heaped) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *heaped) Push(x any)        { *h = append(*h, x.(done)) }
-func (h *heaped) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
 // fleet runs one policy over two zones of servers with 8 slots each.
 type fleet struct {
 	policy  string
@@ -159,7 +144,7 @@
 	far     *route.Set
 	spill   route.Spill
 	random  *rand.Rand
-	busy    heaped
+	ends    map[clock.Millis][]done
 	waiting []job
 	now     clock.Millis
 	turn    int
@@ -233,7 +218,8 @@
 	if s.remote {
 		took += 2 * oneWay
 	}
-	heap.Push(&f.busy, done{at: f.now + took, server: i, job: j, failed: failed})
+	at := f.now + max(took, 1)
+	f.ends[at] = append(f.ends[at], done{server: i, job: j, failed: failed})
 }
 
 func (f *fleet) end(d done) {
@@ -254,9 +240,10 @@
 func (f *fleet) run(perMilli float64) {
 	due := 0.0
 	for ; f.now < simTime; f.now++ {
-		for len(f.busy) > 0 && f.busy[0].at <= f.now {
-			f.end(heap.Pop(&f.busy).(done))
+		for _, d := range f.ends[f.now] {
+			f.end(d)
 		}
+		delete(f.ends, f.now)
 		for due += perMilli * f.random.ExpFloat64(); due >= 1; due-- {
 			f.waiting = append(f.waiting, job{arrived: f.now})
 		}
@@ -288,7 +275,7 @@
 		policy, load := []string{"round robin", "smooth", "least active"}[i%3], []int{75, 110}[i/3]
 		b.Run(fmt.Sprintf("load=%d/%s", load, policy), func(b *testing.B) {
 			for b.Loop() {
-				f := &fleet{policy: policy, random: rand.New(rand.NewPCG(1, 1)), far: route.NewSet(route.LeastActive, 2)}
+				f := &fleet{policy: policy, random: rand.New(rand.NewPCG(1, 1)), far: route.NewSet(route.LeastActive, 2), ends: map[clock.Millis][]done{}}
 				f.set = route.NewSet(route.LeastActive, 1)
 				if policy == "smooth" {
 					f.set = route.NewSet(route.SmoothRobin, 1)
