Count requests of a returned server and dial failures correctly

Cause: found by reading. A server that fell and rose again lost its count of requests in progress, whose ends then made the count negative and drew requests to it. A connection that failed because the caller's own deadline passed counted as a failure of the server.

Change: the count stays at zero or above; only failures while the caller waits count.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -142,7 +142,8 @@
 	if !ok {
 		return
 	}
-	n.active--
+	// A request may be older than the server's last return to the set.
+	n.active = max(0, n.active-1)
 	n.samples++
 	sample := 0.0
 	if failed {
@@ -159,7 +160,7 @@
 // Cancelled takes back a Started of which no byte was sent.
 func (s *Set) Cancelled(k member.Key) {
 	if n, ok := s.index[k]; ok {
-		n.active--
+		n.active = max(0, n.active-1)
 	}
 }
 
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -58,6 +58,31 @@
 	}
 }
 
+// Guards against a server that returns to the set while old requests are in progress: each
+// of their ends would make it look less loaded than idle.
+func TestReturn(t *testing.T) {
+	s := route.NewSet(route.LeastActive, 1)
+	s.Put(keyOf(0), 8)
+	s.Put(keyOf(1), 8)
+	for range 20 {
+		s.Started(keyOf(0))
+	}
+	s.Remove(keyOf(0))
+	s.Put(keyOf(0), 8)
+	for range 20 {
+		s.Ended(0, keyOf(0), 10, false)
+	}
+	count := map[member.Key]int{}
+	for range 20 {
+		k, _ := s.Pick(0, freeAll{})
+		s.Started(k)
+		count[k]++
+	}
+	if count[keyOf(1)] < 9 {
+		t.Errorf("picks %v", count)
+	}
+}
+
 // Guards against spill-over that flaps around its limit.
 func TestSpillHysteresis(t *testing.T) {
 	var s route.Spill
--- a/vbridged/entry/attempt.go
+++ b/vbridged/entry/attempt.go
@@ -29,6 +29,7 @@
 	var end ending
 	defer func() { e.release(c, l, end) }()
 	if err := e.open(ctx, l); err != nil {
+		end.quit = ctx.Err() != nil
 		return c.problem(http.StatusServiceUnavailable, "no connection", err)
 	}
 	left := c.until - e.ports.Clock.Now()
--- a/vbridged/entry/lease.go
+++ b/vbridged/entry/lease.go
@@ -88,13 +88,14 @@
 	if l.wire != nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, DialTime.Std())
+	limited, cancel := context.WithTimeout(ctx, DialTime.Std())
 	defer cancel()
-	w, err := dial(ctx, e.ports.Dialer, l.key, l.address)
+	w, err := dial(limited, e.ports.Dialer, l.key, l.address)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.ports.Clock.Now()
-	if err == nil || ctx.Err() != context.Canceled {
+	// A caller who left or came too late says nothing about the server.
+	if err == nil || ctx.Err() == nil {
 		e.step(now, member.DialEnded{Server: l.key, OK: err == nil})
 	}
 	l.wire = w
