entry: hold the permit of an abandoned request until the server has ended it

Cause: a request that missed its deadline gave its slot back at the deadline, but a backend server need not stop then. make demo at three times the capacity had 9 requests on 8 slots, and TestPauseServer of the fault tests 8 violations in 5,130 checks.

Change: the entry instance closes its sending side, reads until the server closes the connection after the answer, and only then gives the permit back; without that sign it holds it for the maximum request time. The deadline carried to the server no longer counts for capacity.

Ruled out: holding every abandoned slot for the maximum request time, because a short overload would then take all slots for 10 s.

--- a/core/permit/permit.go
+++ b/core/permit/permit.go
@@ -23,11 +23,9 @@
 // WithDrift lengthens d by the drift bound.
 func WithDrift(d clock.Millis) clock.Millis { return d + d.Percent(DriftPercent) }
 
-// LastRun returns until when a request that was sent at an instant may run: the backend
-// server counts its deadline from the receipt, on a clock that may be slower.
-func LastRun(sent, deadline clock.Millis) clock.Millis {
-	return deadline + max(0, deadline-sent).Percent(DriftPercent)
-}
+// LastRun returns until when a request that was sent at an instant may run. It does not rely
+// on the deadline of the request, which a backend server may ignore.
+func LastRun(sent clock.Millis) clock.Millis { return sent + WithDrift(RequestTime) }
 
 // Floor returns the slots of a server that each of the entry instances of its zone may use
 // without a credit.
--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -240,8 +240,8 @@
 		n.holder.Release(now, key, true, j.till)
 		n.holder.Disconnect(now, key, 0)
 	case f.pick(24) == 13 || now >= j.till:
-		n.holder.Release(now, key, false, permit.LastRun(j.at, j.till))
-		n.holder.Disconnect(now, key, permit.LastRun(j.at, j.till))
+		n.holder.Release(now, key, false, permit.LastRun(j.at))
+		n.holder.Disconnect(now, key, permit.LastRun(j.at))
 		old.jobs = append(old.jobs, j)
 	default:
 		return false
--- a/vbridged/entry/lease.go
+++ b/vbridged/entry/lease.go
@@ -10,7 +10,6 @@
 	"vanillabridge/core/member"
 	"vanillabridge/core/model"
 	"vanillabridge/core/once"
-	"vanillabridge/core/permit"
 )
 
 // lease is a permit for one attempt, with a connection or the right to open one.
@@ -146,21 +145,28 @@
 	defer e.mu.Unlock()
 	now := e.ports.Clock.Now()
 	e.metrics.running.Dec()
-	lastRun := permit.LastRun(l.sent, c.until)
-	e.holder.Release(now, l.key, end.whole || !end.sent, lastRun)
+	if end.sent && !end.whole {
+		e.linger(now, l)
+	} else {
+		e.giveBack(now, l, end.reuse)
+	}
+	e.noteEnd(now, c, l, end)
+}
+
+// giveBack returns the permit and the connection of an attempt that the backend server has
+// surely ended; e.mu is held.
+func (e *Entry) giveBack(now clock.Millis, l *lease, reuse bool) {
+	e.holder.Release(now, l.key, true, now)
 	switch {
 	case l.wire == nil:
 		e.holder.Disconnect(now, l.key, now)
-	case end.reuse:
+	case reuse:
 		_ = l.wire.SetDeadline(time.Time{})
 		l.wire.idle = now
 		e.idle[l.key] = append(e.idle[l.key], l.wire)
-	case end.whole || !end.sent:
-		e.shut(now, l.wire, now+CloseTime)
 	default:
-		e.shut(now, l.wire, lastRun)
+		e.shut(now, l.wire, now+CloseTime)
 	}
-	e.noteEnd(now, c, l, end)
 }
 
 // problem describes a failed attempt.
--- a/vbridged/server/server.go
+++ b/vbridged/server/server.go
@@ -50,9 +50,7 @@
 
 	drainOnce sync.Once
 	drain     chan struct{} // closed when a planned stop was asked for
-	draining  atomic.Bool
-	joined    atomic.Bool // see caughtUp
-	started   clock.Millis
+	joined    atomic.Bool   // see caughtUp
 }
 
 // Options are what a Server needs besides its settings.
@@ -84,7 +82,6 @@
 		cell:      cell.NewReplica(),
 		witnesses: map[string]*group.Group{},
 		drain:     make(chan struct{}),
-		started:   o.Clock.Now(),
 	}
 	s.snapshot.Store(newView(0, ""))
 	if err := s.openNet(); err != nil {
@@ -186,7 +183,6 @@
 // stop ends requests in progress within the drain time and hands leadership over. New
 // requests are refused as not run from its start.
 func (s *Server) stop() {
-	s.draining.Store(true)
 	s.recorder.Record(trace.Draining{Subject: s.about()})
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Drain.Time.Std())
 	defer cancel()
--- a/vbridged/server/status.go
+++ b/vbridged/server/status.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"vanillabridge/core/model"
-	"vanillabridge/core/permit"
 	"vanillabridge/core/proto"
 	"vanillabridge/core/trace"
 	"vanillabridge/vbridged/group"
@@ -52,25 +51,18 @@
 	return status
 }
 
-// reasonPermits holds for the maximum request time after a start: requests of an earlier life
-// of the instance may still run on backend servers, so its permits are not used.
-const reasonPermits = "permits: not used yet after the start"
-
 // Unready lists why the instance should get no traffic. An instance without a leader in its
 // zone still serves callers on its floor of permits.
 func (s *Server) Unready() []string {
 	reasons := []string{}
-	if s.draining.Load() {
-		reasons = append(reasons, "draining")
-	}
 	if err := s.zoneGroup.Err(); err != nil {
 		reasons = append(reasons, "zone group stopped: "+err.Error())
 	}
 	if !s.caughtUp() {
 		reasons = append(reasons, "config: not caught up")
 	}
-	if s.clock.Now() < s.started+permit.WithDrift(permit.RequestTime) {
-		reasons = append(reasons, reasonPermits)
+	if ok, reason := s.entry.Ready(); !ok {
+		reasons = append(reasons, reason)
 	}
 	return reasons
 }
