Refuse proposals while the machine is far behind

Cause: Pending bounds what is not committed, but committed entries queued without a bound in front of a slow machine.

Change: a replica whose machine is more than Backlog entries behind refuses proposals with ErrOverloaded.

--- a/vbridged/group/config.go
+++ b/vbridged/group/config.go
@@ -67,11 +67,15 @@
 	// SnapshotEntries and SnapshotBytes say after how much log a snapshot is taken.
 	SnapshotEntries uint64
 	SnapshotBytes   uint64
+	// Backlog is the number of committed entries that the machine may be behind before this
+	// replica refuses proposals.
+	Backlog uint64
 }
 
 const (
 	defaultSnapshotEntries = 50_000
 	defaultSnapshotBytes   = 32 << 20
+	defaultBacklog         = 65_536
 	// maxProposal keeps a message with one entry below the frame limit of the transport, in bytes.
 	maxProposal = 8 << 20
 	// maxQueued bounds the messages that wait for the group; more are dropped like lost ones.
@@ -97,5 +101,8 @@
 	if c.SnapshotBytes == 0 {
 		c.SnapshotBytes = defaultSnapshotBytes
 	}
+	if c.Backlog == 0 {
+		c.Backlog = defaultBacklog
+	}
 	return c, nil
 }
--- a/vbridged/group/fault_test.go
+++ b/vbridged/group/fault_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,3 +141,45 @@
 		}
 	})
 }
+
+// gated is a machine that stands still until it is opened.
+type gated struct {
+	*journal
+	open chan struct{}
+}
+
+func (g gated) Apply(index uint64, data []byte) []byte {
+	<-g.open
+	return g.journal.Apply(index, data)
+}
+
+// Guards against a queue of committed entries that grows without end behind a slow machine.
+func TestSlowMachineRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		open := make(chan struct{})
+		c := newCluster(t, func(cfg *group.Config) {
+			cfg.Backlog, cfg.Machine = 5, gated{cfg.Machine.(*journal), open}
+		}, "a")
+		defer c.close()
+		c.leader()
+		var wg sync.WaitGroup
+		var refused, done atomic.Int32
+		for i := range 20 {
+			wg.Go(func() {
+				err := c.propose("a", fmt.Sprint(i))
+				switch {
+				case err == nil:
+					done.Add(1)
+				case errors.Is(err, fault.ErrOverloaded):
+					refused.Add(1)
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		close(open)
+		wg.Wait()
+		if d := done.Load(); d < 5 || d > 8 || refused.Load() != 20-d {
+			t.Errorf("%d proposals done and %d refused of 20 with a backlog of 5", d, refused.Load())
+		}
+	})
+}
--- a/vbridged/group/propose.go
+++ b/vbridged/group/propose.go
@@ -59,7 +59,7 @@
 	if len(data) > maxProposal {
 		return nil, fault.Wrap(fault.ErrTooLarge, "proposal of %d bytes to group %q", len(data), g.cfg.Group)
 	}
-	if err := g.Err(); err != nil {
+	if err := g.refusal(); err != nil {
 		return nil, err
 	}
 	w := &waiter{id: g.nextID.Add(1), data: data, done: make(chan struct{})}
@@ -74,6 +74,19 @@
 	}
 }
 
+// refusal says why this replica takes no proposals, or returns nil.
+func (g *Group) refusal() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.err != nil {
+		return g.err
+	}
+	if g.state.Commit > g.applied+g.cfg.Backlog {
+		return fault.Wrap(fault.ErrOverloaded, "machine of group %q is %d entries behind", g.cfg.Group, g.state.Commit-g.applied)
+	}
+	return nil
+}
+
 // abandon tells what is known about a proposal whose caller stops waiting.
 func (g *Group) abandon(w *waiter, cause error) ([]byte, error) {
 	if w.taken.CompareAndSwap(false, true) {
