Aim two tests of the replicated log better

Change: TestLeaseReads takes the majority away four times in a check, and more often with a slow leader and fast voters. The test of the witness also loses the leader right after a stall.

--- a/core/quorum/protocol_test.go
+++ b/core/quorum/protocol_test.go
@@ -123,12 +123,23 @@
 	}
 }
 
-// Guards against a witness that stands for election while a local voter can win.
+// Guards against a witness that stands for election while a local voter can win, both while it is
+// fed lazily and right after a stall.
 func TestWitnessLetsLocalVotersStand(t *testing.T) {
-	for seed := range uint64(20) {
+	for seed := range uint64(40) {
 		w := newWorld(t, seed, witnessed(), 3)
 		l := w.mustLead(5 * clock.Second)
 		w.run(w.timing.Lazy)
+		if seed%2 == 1 {
+			f := w.follower()
+			f.crash(0)
+			w.run(clock.Second)
+			w.propose(l)
+			f.start()
+			for f.node.log.last() < l.node.log.last() {
+				w.run(1)
+			}
+		}
 		l.crash(0)
 		w.run(6 * clock.Second)
 		for term, id := range w.leaders {
--- a/core/quorum/safety_test.go
+++ b/core/quorum/safety_test.go
@@ -247,38 +247,54 @@
 func TestLeaseReads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), plain("a", "b", "c"), 3)
-		w.commitAll(3, 20)
-		old := w.leader()
-		var rest []*replica
-		for _, r := range w.nodes {
-			rate := rapid.SampledFrom([]float64{0.952, 1.048}).Draw(t, "rate")
-			r.setRate(rate)
-			if r != old {
-				rest = append(rest, r)
-			}
+		for range 4 {
+			w.cut()
+			w.commitAll(3, 20)
+			loseLeased(t, w)
+			w.run(5 * clock.Second)
+		}
+	})
+}
+
+// loseLeased takes the majority from a leader with a lease, and reads at all replicas meanwhile.
+func loseLeased(t *rapid.T, w *world) {
+	old := w.leader()
+	slow := rapid.Bool().Draw(t, "old leader is slow")
+	var rest []*replica
+	for _, r := range w.nodes {
+		fast := r != old
+		if !slow {
+			fast = rapid.Bool().Draw(t, "fast")
 		}
-		kind := rapid.SampledFrom([]string{"cut", "restart", "handover"}).Draw(t, "kind")
-		if kind == "handover" {
-			old.feed(Handover{})
-		} else {
-			w.cut(rest[0].name)
-			w.run(clock.Millis(rapid.IntRange(2000, 4000).Draw(t, "alone")))
+		r.setRate(0.952)
+		if fast {
+			r.setRate(1.048)
 		}
-		w.run(clock.Millis(rapid.IntRange(0, 120).Draw(t, "then")))
-		w.cut(old.name)
-		if kind == "restart" {
-			rest[1].crash(9)
-			rest[1].start()
+		if r != old {
+			rest = append(rest, r)
 		}
-		for range 300 {
-			w.read(old)
-			for _, r := range rest {
-				w.read(r)
-				if r.node.role == leader && r.node.log.last() < 60 {
-					w.propose(r)
-				}
+	}
+	kind := rapid.SampledFrom([]string{"cut", "restart", "handover"}).Draw(t, "kind")
+	if kind == "handover" {
+		old.feed(Handover{})
+	} else {
+		w.cut(rest[0].name)
+		w.run(clock.Millis(rapid.IntRange(2000, 4000).Draw(t, "alone")))
+	}
+	w.run(clock.Millis(rapid.IntRange(0, 120).Draw(t, "then")))
+	w.cut(old.name)
+	if kind == "restart" {
+		rest[1].crash(9)
+		rest[1].start()
+	}
+	for range 300 {
+		w.read(old)
+		for _, r := range rest {
+			w.read(r)
+			if r.node.role == leader && r.node.log.last() < r.node.commit+20 {
+				w.propose(r)
 			}
-			w.run(5)
 		}
-	})
+		w.run(5)
+	}
 }
