vbstand: let operators of the fault tests retry after a conflict

In one run of make faults the last configuration of TestRacingOperators got a conflict: the test read the version in force, while a newer one was accepted and not yet adopted.

--- a/vbstand/chaos/load_test.go
+++ b/vbstand/chaos/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -55,6 +56,20 @@
 	return s
 }
 
+// change submits a configuration as an operator does: after a conflict again, under another
+// key, for the version that is in force then. An accepted version may not be in force yet.
+func (c *cluster) change(name string, limit time.Duration) record.Submit {
+	c.t.Helper()
+	end := time.Now().Add(limit)
+	for n := 0; ; n++ {
+		s := c.submit(c.version()+1, fmt.Sprintf("%s-%d", name, n), admin.MarkPrefix+name, time.Until(end))
+		if s.Status != http.StatusConflict || time.Now().After(end) {
+			return s
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
 // version returns the highest version that any instance has in force.
 func (c *cluster) version() uint64 {
 	var highest uint64
