--- a/vbstand/admin/admin_test.go
+++ b/vbstand/admin/admin_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"vanillabridge/core/model"
@@ -32,10 +33,13 @@
 // Guards against a resend of a configuration under another key, which could be accepted as
 // a second change.
 func TestSubmitResendsWithItsKey(t *testing.T) {
+	var mu sync.Mutex
 	var keys []string
 	key := func(r *http.Request) {
 		var req proto.SubmitRequest
 		_ = json.NewDecoder(r.Body).Decode(&req)
+		mu.Lock()
+		defer mu.Unlock()
 		keys = append(keys, req.Key)
 	}
 	l := list(t, func(_ http.ResponseWriter, r *http.Request) {
--- a/vbstand/caller/caller_test.go
+++ b/vbstand/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"path"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,10 +97,10 @@
 // Guards against sends that the journal does not show: a transport that resends by itself
 // would make a correct daemon look as if it ran a request twice.
 func TestNoHiddenSends(t *testing.T) {
-	n := 0
+	var n atomic.Int64
 	f := &fake{}
 	f.reply = func(w http.ResponseWriter, token string, body []byte) {
-		if n++; n%2 == 0 {
+		if n.Add(1)%2 == 0 {
 			broken(w, token, body)
 		}
 		done(w, token, body)
