--- a/vbridged/entry/lease.go
+++ b/vbridged/entry/lease.go
@@ -30,6 +30,7 @@
 	}
 	l := &lease{key: k, zone: zone, address: address, at: now}
 	if l.wire = e.popIdle(now, k); l.wire != nil || e.holder.Connect(now, k) {
+		e.metrics.running.Inc()
 		return l
 	}
 	e.holder.Release(now, k, true, now)
@@ -87,13 +88,14 @@
 	if l.wire != nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, DialTime.Std())
+	limited, cancel := context.WithTimeout(ctx, DialTime.Std())
 	defer cancel()
-	w, err := dial(ctx, e.ports.Dialer, l.key, l.address)
+	w, err := dial(limited, e.ports.Dialer, l.key, l.address)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.ports.Clock.Now()
-	if err == nil || ctx.Err() != context.Canceled {
+	// A caller who left or came too late says nothing about the server.
+	if err == nil || ctx.Err() == nil {
 		e.step(now, member.DialEnded{Server: l.key, OK: err == nil})
 	}
 	l.wire = w
@@ -143,6 +145,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.ports.Clock.Now()
+	e.metrics.running.Dec()
 	lastRun := permit.LastRun(l.sent, c.until)
 	e.holder.Release(now, l.key, end.whole || !end.sent, lastRun)
 	switch {
