place: learn by declared size; never from slowed tasks

Reports of throttled tasks counted as evidence although they show less than the task will use again.

Change: the declared size is part of the kind; reports of slowed tasks only raise what is known; a start failure counts in any case. New tests: shares follow the floors, a kind of unknown size starts with 4 tasks, a large single task starts under a stream of small ones; tasks longer than a lease in TestSingleRun.

--- a/core/lease/single_test.go
+++ b/core/lease/single_test.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// runTime is longer than a lease for one job, so that its tasks outlive the silence of a worker.
+func runTime(job model.JobID) clock.Millis {
+	if job == "b/1" {
+		return 20 * clock.Second
+	}
+	return 4 * clock.Second
+}
+
 func work(job model.JobID) model.Work {
 	base := model.Base{Name: string(job[:1]), Count: 6, Size: model.Size{CPU: 300, Memory: 300}, Urgency: model.Normal}
 	switch job {
@@ -243,7 +251,7 @@
 				c.t.Fatalf("attempt %s is started twice", key)
 			}
 			c.started[key] = true
-			n.running[o.Task] = &process{attempt: o.Attempt, ends: c.now + 4*clock.Second}
+			n.running[o.Task] = &process{attempt: o.Attempt, ends: c.now + runTime(o.Task.Job)}
 		case lease.Stop:
 			delete(n.running, o.Task)
 			c.input(n, lease.Finished{TaskEnd: proto.TaskEnd{Task: o.Task, Attempt: o.Attempt, End: proto.EndStopped}})
@@ -353,7 +361,7 @@
 			c.disturb()
 		}
 		c.lossy = false
-		c.run(90 * clock.Second)
+		c.run(150 * clock.Second)
 		for _, id := range c.sortedTasks() {
 			if r := c.record[id]; r.phase != "done" {
 				t.Fatalf("%s is %s, attempt %d on %s", id, r.phase, r.attempt, r.worker)
--- a/core/lease/worker_test.go
+++ b/core/lease/worker_test.go
@@ -104,6 +104,7 @@
 		want lease.Verdict
 	}{
 		{proto.SyncRequest{Worker: "w", Incarnation: 6, Epoch: 4, Seq: 90}, lease.Greet},
+		{proto.SyncRequest{Worker: "w", Incarnation: 6, Epoch: 4, Seq: 91}, lease.Greet},
 		{proto.SyncRequest{Worker: "w", Incarnation: 7, Epoch: 4, Seq: 3}, lease.Current},
 		{proto.SyncRequest{Worker: "w", Incarnation: 7, Epoch: 4, Seq: 2}, lease.Stale},
 		{proto.SyncRequest{Worker: "w", Incarnation: 8, Epoch: 0, Seq: 1}, lease.Greet},
--- a/core/place/bound_test.go
+++ b/core/place/bound_test.go
@@ -60,8 +60,8 @@
 	})
 }
 
-// Guards against a large gang that never starts because small tasks take every gap.
-func TestLargeGang(t *testing.T) {
+// Guards against a large gang or task that never starts because small tasks take every gap.
+func TestLargeUnit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		s := place.New(place.Config{Seed: seed})
@@ -80,13 +80,38 @@
 			}
 		}
 		f.run(20*clock.Second, arrive)
-		gang := f.submit("gang/1", model.Gang{Time: 5 * clock.Second, Base: model.Base{
+		base := model.Base{
 			Name: "gang", Team: "g", Count: 16, Urgency: rapid.SampledFrom(classes).Draw(t, "class"),
 			Size: model.Size{CPU: 3000, Memory: 6000},
-		}})
+		}
+		var work model.Work = model.Gang{Time: 5 * clock.Second, Base: base}
+		if rapid.Bool().Draw(t, "single") {
+			work = model.Batch{Time: 5 * clock.Second, Base: base.WithCount(1)}
+		}
+		j := f.submit("gang/1", work)
 		f.run(2*clock.Minute, arrive)
-		if gang.state == "accepted" && gang.tasks[0].first < 0 {
-			t.Fatalf("the gang has not started after 2 minutes")
+		if j.state == "accepted" && j.tasks[0].first < 0 {
+			t.Fatalf("the large unit has not started after 2 minutes")
 		}
 	})
 }
+
+// Guards against a class that takes all capacity beyond the floors of the others: the shares follow
+// the floors, 50 to 30 here, while both classes wait.
+func TestShares(t *testing.T) {
+	f := newFleet(place.New(place.Config{Seed: 1}), 1, 16, small)
+	for _, u := range classes[1:] {
+		for i := range 16 {
+			name := fmt.Sprintf("%s%d", u, i)
+			f.kinds[name] = truth{use: 1, time: 1}
+			work := batch(name, u, 500, 500)
+			work.Time = 5 * clock.Second
+			f.submit(model.NewJobID(name, "r"), work)
+		}
+	}
+	f.run(90*clock.Second, nil)
+	urgent, normal := f.stats.done[model.Urgent], f.stats.done[model.Normal]
+	if part := 100 * normal / (urgent + normal); part < 34 || part > 42 {
+		t.Errorf("normal work got %d%% of the ends, want about 38%%", part)
+	}
+}
--- a/core/place/finish.go
+++ b/core/place/finish.go
@@ -32,7 +32,8 @@
 	switch {
 	case e.End == proto.EndDone && !j.service:
 		s.finished(now, w, t, e)
-	case isFailure(e.End) && !ordered:
+	case isFailure(e.End) && (!ordered || e.End == proto.EndNoStart):
+		// A worker that could not start a task has failed even if the task was to stop anyway.
 		s.failedOn(now, w, t, probe, e)
 	default:
 		if !ordered {
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -209,6 +209,9 @@
 		return
 	}
 	k := t.job.kind
+	if t.command != commandRun && use.Fits(t.peak) {
+		return // a slowed task shows less than it will use again
+	}
 	grown := !use.Fits(t.peak)
 	t.peak = t.peak.Max(use)
 	switch {
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -8,9 +8,12 @@
 // window is the number of tasks of a kind that are remembered.
 const window = 32
 
+// kindKey names a kind. The declared size is part of it, because an operator who changes it mostly
+// changes the work too.
 type kindKey struct {
 	team model.Team
 	name string
+	size model.Size
 }
 
 // kind holds what was learned of the tasks of one piece of work. Its estimate is the largest use
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -134,7 +134,7 @@
 }
 
 func (s *Scheduler) kindOf(j *job) *kind {
-	key := kindKey{team: j.base.Team, name: j.base.Name}
+	key := kindKey{team: j.base.Team, name: j.base.Name, size: j.base.Size}
 	k, ok := s.kinds[key]
 	if !ok {
 		k = &kind{key: key}
--- a/core/place/rules_test.go
+++ b/core/place/rules_test.go
@@ -227,3 +227,11 @@
 	out = append(out, d.after(1000, place.Tick{})...)
 	expect(t, "whole again", out, "requeue g/1#0 saved 0", "assign g/1#0/2 a", "assign g/1#1/2 c")
 }
+
+// Guards against a kind of unknown size that starts everywhere at once.
+func TestUnknownKindStartsSlowly(t *testing.T) {
+	d := newDesk("a", "b", "c", "d", "e", "f")
+	if n := len(d.submit("x/1", batch("x", model.Normal, 20, 100))); n != 4 {
+		t.Errorf("%d tasks of an unknown kind start at once, want 4", n)
+	}
+}
