--- a/core/place/rules_test.go
+++ b/core/place/rules_test.go
@@ -235,3 +235,22 @@
 		t.Errorf("%d tasks of an unknown kind start at once, want 4", n)
 	}
 }
+
+// Guards against preemption that takes a class below its floor.
+func TestPreemptKeepsFloors(t *testing.T) {
+	d := newDesk("a")
+	d.placed("l/1", batch("l", model.Low, 1, 2000), "a")
+	for range 6 {
+		d.now += 500
+		d.report("a", running("l/1", 0, 2000), running("other/1", 0, 11_500))
+	}
+	expect(t, "urgent", d.submit("u/1", batch("u", model.Urgent, 1, 600)))
+}
+
+// Guards against new tasks on a worker whose measured use is high already.
+func TestHotWorker(t *testing.T) {
+	d := newDesk("a")
+	d.report("a", running("other/1", 0, 13_800))
+	expect(t, "hot", d.submit("x/1", batch("x", model.Normal, 1, 100)))
+	expect(t, "cooled", d.report("a", running("other/1", 0, 13_000)), "assign x/1#0/1 a")
+}
--- a/core/place/scale_test.go
+++ b/core/place/scale_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -24,18 +26,18 @@
 	s       *place.Scheduler
 	rng     *rand.Rand
 	reports []place.WorkerReport
-	spot    map[model.TaskID]int // position of a task in its worker's report
-	where   map[model.TaskID]int
-	batch   []model.TaskID // running
+	batch   []spot // running
 	jobs    int
 	starts  int
 }
 
+type spot struct {
+	id model.TaskID
+	at int // index of the worker
+}
+
 func newBig(workers int) *big {
-	b := &big{
-		now: 1_000_000, s: place.New(place.Config{Seed: 1}), rng: rand.New(rand.NewPCG(1, 1)),
-		spot: make(map[model.TaskID]int), where: make(map[model.TaskID]int),
-	}
+	b := &big{now: 1_000_000, s: place.New(place.Config{Seed: 1}), rng: rand.New(rand.NewPCG(1, 1))}
 	for i := range workers {
 		r := place.WorkerReport{
 			Worker: model.WorkerID(fmt.Sprintf("w%05d", i)), Incarnation: 1,
@@ -84,11 +86,10 @@
 
 func (b *big) hold(id model.TaskID, attempt, at int, batch bool) {
 	r := &b.reports[at]
-	b.where[id], b.spot[id] = at, len(r.Held)
 	use := model.Size{CPU: 1100 + model.Millicores(b.rng.IntN(200)), Memory: 2100}
 	r.Held = append(r.Held, proto.Held{Task: id, Attempt: attempt, Phase: proto.PhaseRunning, Usage: use})
 	if batch {
-		b.batch = append(b.batch, id)
+		b.batch = append(b.batch, spot{id, at})
 	}
 }
 
@@ -105,33 +106,25 @@
 		if a, ok := d.(place.Assign); ok {
 			for _, p := range a.Placements {
 				b.starts++
-				b.hold(p.Task, p.Attempt, b.index(p.Worker), true)
+				at, _ := strconv.Atoi(string(p.Worker[1:]))
+				b.hold(p.Task, p.Attempt, at, true)
 			}
 		}
 	}
 }
 
-func (b *big) index(id model.WorkerID) int {
-	n := 0
-	_, _ = fmt.Sscanf(string(id), "w%d", &n)
-	return n
-}
-
 // turnover ends perJob random tasks and submits a job of as many.
 func (b *big) turnover() {
 	for range perJob {
 		k := b.rng.IntN(len(b.batch))
-		id := b.batch[k]
+		x := b.batch[k]
 		b.batch[k] = b.batch[len(b.batch)-1]
 		b.batch = b.batch[:len(b.batch)-1]
-		r := &b.reports[b.where[id]]
-		h := r.Held[b.spot[id]]
-		last := r.Held[len(r.Held)-1]
-		r.Held[b.spot[id]], b.spot[last.Task] = last, b.spot[id]
-		r.Held = r.Held[:len(r.Held)-1]
-		delete(b.where, id)
-		delete(b.spot, id)
-		b.apply(b.s.Step(b.now, place.Ended{Task: id, Attempt: h.Attempt, End: proto.EndDone, Usage: h.Usage, Time: 100 * clock.Second}))
+		r := &b.reports[x.at]
+		i := slices.IndexFunc(r.Held, func(h proto.Held) bool { return h.Task == x.id })
+		h := r.Held[i]
+		r.Held = slices.Delete(r.Held, i, i+1)
+		b.apply(b.s.Step(b.now, place.Ended{Task: x.id, Attempt: h.Attempt, End: proto.EndDone, Usage: h.Usage, Time: 100 * clock.Second}))
 	}
 	id, w := b.work(false)
 	e := place.Submit{Job: id, Work: w}
@@ -213,26 +206,14 @@
 		before := heap()
 		f := newBig(workers)
 		joined := heap()
-		tasks := perWorker * workers
-		e := make([]place.Submit, 0, tasks/perJob)
-		for n := 0; n < tasks; n += perJob {
-			id, w := f.work(false)
-			x := place.Submit{Job: id, Work: w}
-			for i := range perJob {
-				x.Tasks = append(x.Tasks, place.Task{Index: i, Attempt: 1, Placed: &place.Placed{
-					Worker: f.reports[(n+i)%workers].Worker, Incarnation: 1, Started: 1,
-				}})
-			}
-			e = append(e, x)
-		}
-		inputs := heap()
-		for _, x := range e {
-			f.s.Step(f.now, x)
-		}
+		f.fill()
 		b.ReportMetric(float64(joined-before)/workers, "B/worker")
-		b.ReportMetric(float64(heap()-inputs)/float64(tasks), "B/task")
-		runtime.KeepAlive(e)
-		runtime.KeepAlive(f)
+		held := f.reports
+		f.reports, f.batch = nil, nil
+		full := heap()
+		f.s = nil
+		b.ReportMetric(float64(full-heap()-(joined-before))/(perWorker*workers), "B/task")
+		runtime.KeepAlive(held)
 	}
 }
 
