--- a/core/place/fleet_test.go
+++ b/core/place/fleet_test.go
@@ -92,21 +92,6 @@
 	end       *place.Ended
 }
 
-type stats struct {
-	waits     [3][]float64 // ms from accepted to first start
-	turns     []float64    // ms from accepted to done
-	goodput   [3]float64   // processor time in core-ms of ended tasks, as declared work
-	done      [3]int
-	refused   [3]int
-	overloads int     // worker steps over the true capacity
-	stopped   int     // stops for overload
-	thrown    float64 // core-ms of work lost
-	used      float64 // sum over samples of used over size in the scarcest dimension, while work waits
-	samples   int
-	assigns   int
-	failed    int
-}
-
 func newFleet(p policy, seed uint64, n int, size model.Size) *fleet {
 	f := &fleet{
 		now: 1_000_000, policy: p, seed: seed, noise: 0.05,
@@ -406,21 +391,3 @@
 }
 
 func (f *fleet) sortedJobs() []model.JobID { return slices.Sorted(maps.Keys(f.jobs)) }
-
-func (f *fleet) sample() {
-	var used, size model.Size
-	for _, w := range f.workers {
-		used, size = used.Plus(w.load), size.Plus(w.size)
-	}
-	used.Accel = 0
-	f.stats.used += used.Share(size)
-	f.stats.samples++
-}
-
-func quantile(list []float64, q float64) float64 {
-	if len(list) == 0 {
-		return 0
-	}
-	list = slices.Sorted(slices.Values(list))
-	return list[int(q*float64(len(list)-1))]
-}
