--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -24,7 +24,7 @@
 	refusedTime = 1 * clock.Second
 	// margin is the time to its deadline, in average slot times, below which a request that
 	// has waited isn't started: most such requests would be cut off in the middle.
-	margin   = 1.25
+	margin   = 2.0
 	maxPause = 30 * clock.Second
 )
 
--- a/vbridged/entry/metrics.go
+++ b/vbridged/entry/metrics.go
@@ -16,22 +16,22 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "vb_requests_total", Help: "Requests by class and outcome.",
+			Name: "vanillabridge_requests_total", Help: "Requests by class and outcome.",
 		}, []string{"class", "outcome"}),
 		renewals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "vb_permit_renewals_total", Help: "Renewals of permits by result.",
+			Name: "vanillabridge_permit_renewals_total", Help: "Renewals of permits by result.",
 		}, []string{"result"}),
 		tries: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "vb_request_attempts_total", Help: "Attempts towards backend servers.",
+			Name: "vanillabridge_request_attempts_total", Help: "Attempts towards backend servers.",
 		}),
 		running: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "vb_requests_running", Help: "Requests that hold a permit.",
+			Name: "vanillabridge_requests_running", Help: "Requests that hold a permit.",
 		}),
 		waiting: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "vb_requests_waiting", Help: "Requests that wait for a permit.",
+			Name: "vanillabridge_requests_waiting", Help: "Requests that wait for a permit.",
 		}),
 		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "vb_request_wait_seconds", Help: "Time from acceptance to the first permit.",
+			Name: "vanillabridge_request_wait_seconds", Help: "Time from acceptance to the first permit.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 4, 9),
 		}, []string{"class"}),
 	}
