peer: carry the timeline's stamps with every message; plain error texts

The hybrid clocks of the processes were never merged, so the gathered timeline was ordered by wall clocks. Every message and answer between instances carries a stamp now; TestStampsFollowMessages has clocks a second apart. Answers to operators no longer end in the names of sentinels.

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -1,6 +1,10 @@
 package fault
 
-import "github.com/joomcode/errorx"
+import (
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
 
 var (
 	space = errorx.NewNamespace("vanillabridge")
@@ -41,6 +45,18 @@
 	ErrTooLarge error = tooLarge.NewWithNoMessage()
 )
 
+// Text returns the message of an error without the name of its sentinel, for people. What a
+// sentinel means is told to them by the status of the answer.
+func Text(err error) string {
+	text := err.Error()
+	for _, t := range []*errorx.Type{
+		invalid, conflict, notFound, notLeader, unavailable, overloaded, unknown, corrupt, stopped, tooLarge,
+	} {
+		text = strings.ReplaceAll(text, ", cause: "+t.FullName(), "")
+	}
+	return text
+}
+
 // Wrap adds what was tried to a cause; errors.Is still finds the cause.
 func Wrap(cause error, format string, args ...any) error {
 	return errorx.Decorate(cause, format, args...)
--- a/core/fault/fault_test.go
+++ b/core/fault/fault_test.go
@@ -19,4 +19,8 @@
 	if got, want := err.Error(), "submit version 7"; len(got) < len(want) || got[:len(want)] != want {
 		t.Fatalf("message %q does not start with %q", got, want)
 	}
+	twice := fault.Wrap(err, "call east1")
+	if got, want := fault.Text(twice), "call east1, cause: submit version 7"; got != want {
+		t.Fatalf("text of a wrapped error = %q, want %q", got, want)
+	}
 }
--- a/vbridged/admin/handlers.go
+++ b/vbridged/admin/handlers.go
@@ -27,7 +27,7 @@
 		return c.JSON(http.StatusConflict, struct {
 			proto.Problem
 			proto.SubmitReply
-		}{proto.Problem{Error: err.Error(), Outcome: proto.OutcomeNotRun}, reply})
+		}{proto.Problem{Error: fault.Text(err), Outcome: proto.OutcomeNotRun}, reply})
 	}
 	return answer(c, reply, err)
 }
--- a/vbridged/main.go
+++ b/vbridged/main.go
@@ -23,7 +23,7 @@
 	if err == nil {
 		return
 	}
-	fmt.Fprintln(os.Stderr, err)
+	fmt.Fprintln(os.Stderr, fault.Text(err))
 	if errors.Is(err, fault.ErrInvalid) {
 		os.Exit(exitSettings)
 	}
--- a/vbridged/peer/errors.go
+++ b/vbridged/peer/errors.go
@@ -48,10 +48,10 @@
 func toWire(err error) *jsonrpc2.Error {
 	for _, s := range sentinels() {
 		if errors.Is(err, s.err) {
-			return &jsonrpc2.Error{Code: s.code, Message: err.Error()}
+			return &jsonrpc2.Error{Code: s.code, Message: fault.Text(err)}
 		}
 	}
-	return &jsonrpc2.Error{Code: codeUnknown, Message: err.Error()}
+	return &jsonrpc2.Error{Code: codeUnknown, Message: fault.Text(err)}
 }
 
 // fromWire is the inverse of toWire.
--- a/vbridged/peer/link.go
+++ b/vbridged/peer/link.go
@@ -82,7 +82,7 @@
 	count := func(sent, received int) { l.net.bytes.wire(crosses, sent, received) }
 	timed := timedConn{Conn: raw, read: readTimeout, write: writeTimeout, count: count}
 	stream := jsonrpc2.NewBufferedStream(timed, codec{})
-	c := jsonrpc2.NewConn(l.net.ctx, stream, refuse{}, jsonrpc2.SetLogger(quiet{}))
+	c := jsonrpc2.NewConn(l.net.ctx, stream, refuse{}, append(l.net.stampOptions(), jsonrpc2.SetLogger(quiet{}))...)
 	h := hello{Instance: l.net.self.Instance, Region: l.net.self.Region}
 	if err := c.Call(ctx, methodHello, h, nil); err != nil {
 		_ = c.Close()
--- a/vbridged/peer/net.go
+++ b/vbridged/peer/net.go
@@ -38,10 +38,11 @@
 // Net is this instance's connections to the others. Each instance dials each other one and
 // sends its own requests over that connection; answers come back over it.
 type Net struct {
-	self  Address
-	peers map[model.Instance]*link
-	tls   TLS
-	bytes *Counter
+	self   Address
+	peers  map[model.Instance]*link
+	tls    TLS
+	stamps Stamps
+	bytes  *Counter
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -53,13 +54,15 @@
 	accepted map[*jsonrpc2.Conn]struct{}
 }
 
-// New returns a Net that is not yet listening. A nil tlsConfig means plain TCP.
-func New(self Address, others []Address, tlsConfig TLS) *Net {
+// New returns a Net that is not yet listening. A nil tlsConfig means plain TCP, and without
+// stamps messages carry none.
+func New(self Address, others []Address, tlsConfig TLS, stamps Stamps) *Net {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Net{
 		self:     self,
 		peers:    map[model.Instance]*link{},
 		tls:      tlsConfig,
+		stamps:   stamps,
 		bytes:    newCounter(),
 		ctx:      ctx,
 		cancel:   cancel,
@@ -154,7 +157,7 @@
 	s := &session{net: n}
 	timed := timedConn{Conn: raw, read: readTimeout, write: writeTimeout, count: s.count}
 	stream := jsonrpc2.NewBufferedStream(timed, codec{})
-	conn := jsonrpc2.NewConn(n.ctx, stream, s, jsonrpc2.SetLogger(quiet{}))
+	conn := jsonrpc2.NewConn(n.ctx, stream, s, append(n.stampOptions(), jsonrpc2.SetLogger(quiet{}))...)
 	n.mu.Lock()
 	n.accepted[conn] = struct{}{}
 	n.mu.Unlock()
--- a/vbridged/peer/net_test.go
+++ b/vbridged/peer/net_test.go
@@ -8,14 +8,25 @@
 	"testing"
 	"time"
 
+	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
 	"vanillabridge/core/model"
+	"vanillabridge/core/trace"
 	"vanillabridge/vbridged/peer"
 )
 
 // pair starts two connected instances.
 func pair(t *testing.T, handlers map[string]peer.Handler) *peer.Net {
 	t.Helper()
+	a, _ := pairWith(t, stampsOf(0), handlers)
+	return a
+}
+
+// pairWith starts two instances, of which the second has the given clock and the first is a
+// second ahead.
+func pairWith(t *testing.T, second *trace.Recorder, handlers map[string]peer.Handler) (*peer.Net, *trace.Recorder) {
+	t.Helper()
+	first := stampsOf(1000)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -26,8 +37,8 @@
 	}
 	one := peer.Address{Instance: "one", Region: "east", Peer: l.Addr().String()}
 	two := peer.Address{Instance: "two", Region: "west", Peer: k.Addr().String()}
-	a := peer.New(one, []peer.Address{two}, nil)
-	b := peer.New(two, []peer.Address{one}, nil)
+	a := peer.New(one, []peer.Address{two}, nil, first)
+	b := peer.New(two, []peer.Address{one}, nil, second)
 	for method, h := range handlers {
 		b.Handle(method, h)
 	}
@@ -38,7 +49,7 @@
 	for !a.IsReached("two") {
 		time.Sleep(time.Millisecond)
 	}
-	return a
+	return a, first
 }
 
 // Guards against errors that lose their sentinel between instances: a caller would then be
@@ -83,6 +94,35 @@
 	}
 }
 
+func stampsOf(now clock.Millis) *trace.Recorder {
+	source := &clock.Fake{}
+	source.Advance(now)
+	return trace.NewRecorder(trace.Options{Source: source, Size: 10})
+}
+
+// Guards against a timeline in which an effect comes before its cause in another process: the
+// clocks are a second apart, and the later process answers the earlier one.
+func TestStampsFollowMessages(t *testing.T) {
+	var seen trace.Stamp
+	slow := stampsOf(0)
+	a, fast := pairWith(t, slow, map[string]peer.Handler{
+		"mark": func(context.Context, model.Instance, json.RawMessage) (any, error) {
+			seen = slow.Record(trace.Ready{})
+			return true, nil
+		},
+	})
+	sent := fast.Record(trace.Ready{})
+	if err := a.Call(t.Context(), "two", "mark", nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	if seen.Compare(sent) <= 0 {
+		t.Errorf("the call of %s was handled at %s", sent, seen)
+	}
+	if after := fast.Record(trace.Ready{}); after.Compare(seen) <= 0 {
+		t.Errorf("the answer given at %s was received at %s", seen, after)
+	}
+}
+
 // Guards against a call that reports "no effect" when the peer went away after it was sent.
 func TestLostAnswerIsUnknown(t *testing.T) {
 	entered := make(chan struct{})
--- a/vbridged/peer/tls_test.go
+++ b/vbridged/peer/tls_test.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := peer.New(self, []peer.Address{other}, config)
+	n := peer.New(self, []peer.Address{other}, config, nil)
 	n.Serve(l)
 	t.Cleanup(n.Close)
 	return n
--- a/vbridged/server/peers.go
+++ b/vbridged/server/peers.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	s.net = peer.New(self, others, config)
+	s.net = peer.New(self, others, config, s.recorder)
 	return nil
 }
 
