--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -11,12 +11,11 @@
 	"github.com/google/go-cmp/cmp"
 
 	"vanillabridge/core/fault"
+	"vanillabridge/core/golden"
 	"vanillabridge/core/model"
 	"vanillabridge/core/spec"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 var places = []spec.Place{
 	{Zone: "east-a", Region: "east"},
 	{Zone: "west-a", Region: "west"},
@@ -30,22 +29,6 @@
 	os.Exit(m.Run())
 }
 
-func golden(t *testing.T, file, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s (-want +got):\n%s", file, diff)
-	}
-}
-
 func parseFile(t *testing.T, file string) spec.Document {
 	t.Helper()
 	text, err := os.ReadFile(file)
@@ -84,7 +67,7 @@
 				}
 				out.WriteString("\naccepted\n" + text)
 			}
-			golden(t, strings.TrimSuffix(file, ".ini")+".golden", out.String())
+			golden.Check(t, strings.TrimSuffix(file, ".ini")+".golden", out.String())
 		})
 	}
 }
@@ -117,7 +100,7 @@
 	changed := old.WithVersion(8).Without(spec.KindGang, "train").Without(spec.KindCaller, "portal").
 		WithCaller(spec.Caller{Name: "portal", Share: 4, Class: model.Urgent}).
 		WithTeam(spec.Team{Name: "beta", Quota: model.Size{CPU: 1000, Memory: 1024}})
-	golden(t, "testdata/diff.golden", spec.Diff(old, changed))
+	golden.Check(t, "testdata/diff.golden", spec.Diff(old, changed))
 	same, err := spec.Parse("[batch a]\ntime = 60s\n")
 	if err != nil {
 		t.Fatal(err)
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -14,12 +14,11 @@
 	"pgregory.net/rapid"
 
 	"vanillabridge/core/clock"
+	"vanillabridge/core/golden"
 	"vanillabridge/core/model"
 	"vanillabridge/core/trace"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // skewed is a clock that a test sets to any time, also back.
 type skewed struct{ now clock.Millis }
 
@@ -32,22 +31,6 @@
 	os.Exit(m.Run())
 }
 
-func golden(t *testing.T, file, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s (-want +got):\n%s", file, diff)
-	}
-}
-
 // sample returns the events of a task and a request over three processes, with names that
 // need quoting in HTML.
 func sample() []trace.Entry {
@@ -94,7 +77,7 @@
 		if err := write(&b); err != nil {
 			t.Fatal(err)
 		}
-		golden(t, file, b.String())
+		golden.Check(t, file, b.String())
 		// A page that loads something shows nothing on a machine without a way out.
 		if regexp.MustCompile(`(src|href)=|url\(|@import|<script`).MatchString(b.String()) {
 			t.Errorf("%s refers to an outside resource", file)
--- a/vbctl/main_test.go
+++ b/vbctl/main_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"flag"
 	"io"
 	"net"
 	"net/http"
@@ -21,28 +20,11 @@
 	"github.com/spf13/cobra"
 
 	"vanillabridge/core/clock"
+	"vanillabridge/core/golden"
 	"vanillabridge/core/proto"
 	"vanillabridge/core/trace"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
-func golden(t *testing.T, file, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s (-want +got):\n%s", file, diff)
-	}
-}
-
 // instance is a stand-in for an entry instance; it keeps the bodies that it received.
 type instance struct {
 	address string
@@ -268,7 +250,7 @@
 	if status != statusDone || strings.Count(errs, "left out") != 1 || !strings.Contains(errs, "1 lines are no events") {
 		t.Errorf("exit status %d, want %d\n%s", status, statusDone, errs)
 	}
-	golden(t, "testdata/timeline.golden", out)
+	golden.Check(t, "testdata/timeline.golden", out)
 	if b.received()[0] != "GET /v1/events?kind=ready&limit=3 " {
 		t.Errorf("request %q", b.received()[0])
 	}
@@ -323,7 +305,7 @@
 		status, out, errs := vbctl(t, strings.Fields(args)...)
 		all.WriteString("$ vbctl " + args + "\n" + out + errs + "exit status " + string(rune('0'+status)) + "\n\n")
 	}
-	golden(t, "testdata/output.golden", all.String())
+	golden.Check(t, "testdata/output.golden", all.String())
 }
 
 // Guards against a subcommand without usage text, examples or completion.
--- a/vbridged/config/config_test.go
+++ b/vbridged/config/config_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -13,29 +12,12 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"vanillabridge/core/fault"
+	"vanillabridge/core/golden"
 	"vanillabridge/core/model"
 	"vanillabridge/core/spec"
 	"vanillabridge/vbridged/config"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
-func golden(t *testing.T, file, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s (-want +got):\n%s", file, diff)
-	}
-}
-
 // Guards against a reference that differs from what the daemon accepts. Run with -update after
 // a change of the table.
 func TestReferenceIsCurrent(t *testing.T) {
@@ -43,7 +25,7 @@
 	if err := config.Reference(&b); err != nil {
 		t.Fatal(err)
 	}
-	golden(t, "../../docs/settings.md", b.String())
+	golden.Check(t, "../../docs/settings.md", b.String())
 }
 
 // Guards against wrong settings that are accepted, and against a message without file, section
@@ -59,7 +41,7 @@
 				t.Errorf("%s: line %q does not name the file", name, line)
 			}
 		}
-		golden(t, "testdata/"+name+".golden", err.Error()+"\n")
+		golden.Check(t, "testdata/"+name+".golden", err.Error()+"\n")
 	}
 	if _, err := config.Load("testdata/none.ini"); !errors.Is(err, fault.ErrInvalid) {
 		t.Errorf("missing file: error %v, want ErrInvalid", err)
