Elect a new zone leader after 600 ms instead of 1 s

Urgent starts within 1.3 s are due also when the zone leader was just lost. Ruled out: standing for election when the leader's connection drops, because voters are bound by the leader's lease until the timeout.

--- a/vbridged/config/table.go
+++ b/vbridged/config/table.go
@@ -63,7 +63,7 @@
 		target: func(s *Settings) any { return &s.Group.Cell },
 	},
 	{
-		section: "group", name: "election", fallback: "1s", min: 100, max: 60_000, doc: "time without a leader after which an election starts; at least 3 heartbeats",
+		section: "group", name: "election", fallback: "600ms", min: 100, max: 60_000, doc: "time without a leader after which an election starts; at least 3 heartbeats",
 		target: func(s *Settings) any { return &s.Group.Election },
 	},
 	{
