--- a/vbstand/chaos/kinds_test.go
+++ b/vbstand/chaos/kinds_test.go
@@ -9,6 +9,7 @@
 
 	"vanillabridge/core/model"
 	"vanillabridge/vbstand/record"
+	"vanillabridge/vbstand/server"
 )
 
 // seed fixes which processes the loops hit.
@@ -137,6 +138,22 @@
 	})
 }
 
+// Guards against answers that look whole although they are not, requests that run twice and
+// requests that fail for good because one backend server of each zone never answers, resets its
+// connections or answers with errors at once.
+func TestBadServers(t *testing.T) {
+	scenario(t, "bad", func(c *cluster) {
+		faults := map[model.Zone]server.Fault{"east-a": server.FaultNever, "west-a": server.FaultReset, "north-a": server.FaultError}
+		for z, fault := range faults {
+			c.startServer("bad-"+region(z), z, "--fault", string(fault), "--share", "0.5")
+		}
+		time.Sleep(10 * time.Second)
+		for z := range faults {
+			c.kill("bad-" + region(z))
+		}
+	})
+}
+
 // Guards against harm when a leader is paused while another zone is cut off.
 func TestPauseAndCut(t *testing.T) {
 	scenario(t, "two", func(c *cluster) {
