peer: encode answers before the connection is locked

make race failed in TestCallKeepsSentinel on a busy machine: an answer of 20 MB was encoded while the connection was locked for sending, the answers to pings waited behind it for more than 2 s, and the connection was given up as cut.

--- a/vbridged/peer/codec.go
+++ b/vbridged/peer/codec.go
@@ -17,6 +17,9 @@
 // maxFrame bounds one message, so that a faulty peer cannot exhaust the memory.
 const maxFrame = 16 << 20
 
+// frameReserve is the part of a frame that is left for the envelope of a message.
+const frameReserve = 1 << 10
+
 // codec frames messages with a length of four bytes. The codecs of the library accept a frame
 // of any length.
 type codec struct{}
--- a/vbridged/peer/session.go
+++ b/vbridged/peer/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync/atomic"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -45,13 +44,28 @@
 	if r.Notif {
 		return
 	}
+	var data json.RawMessage
+	if err == nil {
+		data, err = encodeResult(result)
+	}
 	if err != nil {
 		_ = c.ReplyWithError(ctx, r.ID, toWire(err))
 		return
 	}
-	if err := c.Reply(ctx, r.ID, result); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
-		_ = c.ReplyWithError(ctx, r.ID, toWire(err)) // an answer over the frame limit was not sent
+	_ = c.Reply(ctx, r.ID, data)
+}
+
+// encodeResult encodes an answer before the connection is locked for sending it, so that a
+// large one does not hold up the answers to pings.
+func encodeResult(result any) (json.RawMessage, error) {
+	data, err := json.Marshal(result)
+	if err != nil {
+		return nil, fault.Wrap(fault.ErrUnknown, "encode answer: %v", err)
+	}
+	if len(data) > maxFrame-frameReserve {
+		return nil, fault.Wrap(fault.ErrTooLarge, "answer of %d bytes", len(data))
 	}
+	return data, nil
 }
 
 func (s *session) dispatch(ctx context.Context, r *jsonrpc2.Request) (any, error) {
