sched: look only at the workers with news after each input

After each input the leader went through all its workers to answer those with news, a cost that grows with the square of the workers of a zone.

A sync that was parked when the lease of its worker ended could be answered twice, and the second answer could block the scheduler; it is sent once now.

--- a/vbridged/sched/change.go
+++ b/vbridged/sched/change.go
@@ -96,6 +96,6 @@
 
 func (l *lead) tell(id model.WorkerID) {
 	if w, ok := l.workers[id]; ok {
-		w.news = true
+		l.note(w)
 	}
 }
--- a/vbridged/sched/lead.go
+++ b/vbridged/sched/lead.go
@@ -26,6 +26,7 @@
 	place   *place.Scheduler
 	keeper  *lease.Keeper
 	workers map[model.WorkerID]*worker
+	noted   []*worker // with news since the last settle
 	orders  map[model.TaskID]place.Order
 	ends    map[attempt]proto.TaskEnd // reported, not yet committed
 	next    batch                     // decisions of this round
@@ -133,7 +134,7 @@
 func (l *lead) order(d place.Order) {
 	l.orders[d.Task] = d
 	if w, ok := l.workers[d.Worker]; ok {
-		w.news = true
+		l.note(w)
 	}
 	if d.Command != proto.CommandRun {
 		l.options.Metrics.Orders.WithLabelValues(string(d.Command)).Inc()
@@ -183,14 +184,28 @@
 		l.next.add(state.Expire{At: now, Keep: l.config.runs})
 	}
 	l.measure()
+	for _, w := range l.workers {
+		if w.parked != nil && now-w.since >= holdSync {
+			l.answer(now, w)
+		}
+	}
 }
 
 // settle proposes what was decided and answers the workers for whom there is news.
 func (l *lead) settle(now clock.Millis) {
 	l.propose()
-	for _, w := range l.workers {
-		l.answerParked(now, w)
+	for _, w := range l.noted {
+		if w.parked != nil && w.news {
+			l.answer(now, w)
+		}
 	}
+	l.noted = l.noted[:0]
+}
+
+// note marks that there is news for a worker, which it hears with its parked or next sync.
+func (l *lead) note(w *worker) {
+	w.news = true
+	l.noted = append(l.noted, w)
 }
 
 func (l *lead) close() {
--- a/vbridged/sched/worker.go
+++ b/vbridged/sched/worker.go
@@ -108,7 +108,9 @@
 		l.answer(now, w)
 	}
 	w.parked, w.since = &i, now
-	w.news = w.news || l.hasNews(w, i.request)
+	if w.news || l.hasNews(w, i.request) {
+		l.note(w)
+	}
 }
 
 // hasNews reports whether the worker holds other tasks than it should, or waits for a
@@ -130,12 +132,6 @@
 	return news
 }
 
-func (l *lead) answerParked(now clock.Millis, w *worker) {
-	if w.parked != nil && (w.news || now-w.since >= holdSync) {
-		l.answer(now, w)
-	}
-}
-
 // answer renews the lease of the worker; the moment is booked before the answer leaves.
 func (l *lead) answer(now clock.Millis, w *worker) {
 	i := w.parked
@@ -206,6 +202,7 @@
 	for _, id := range l.keeper.Gone(now) {
 		if w, ok := l.workers[id]; ok && w.parked != nil {
 			w.parked.reply <- syncResult{err: fault.Wrap(fault.ErrUnavailable, "lease of worker %s ended", id)}
+			w.parked = nil // an answer is sent once
 		}
 		delete(l.workers, id)
 		l.options.Events.Record(trace.WorkerLost{Subject: trace.Subject{Worker: id}, Reason: "lease ended"})
