server: refuse records at once in a zone that has no leader

The new TestLoneInstance cuts off a zone of two instances and kills one: the other served 24 of 100 idempotent requests. Non-idempotent requests held the four permits of its floor for up to 3 s each while they waited for a record that the zone, without a majority, could not keep; the admission then saw no way to meet a deadline and refused the rest.

A record is now waited for at most 1.5 s, which covers an election, and refused at once when the zone has had no leader for 1.5 s. After: at least 95 of 100, the bound of the test. Ruled out: the record before the permit, because a flood would then cost a commit for every refused request.

--- a/vbridged/server/entry.go
+++ b/vbridged/server/entry.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
 	"vanillabridge/core/member"
 	"vanillabridge/core/model"
@@ -112,9 +114,24 @@
 	return err
 }
 
+// Bounds of the wait for a record. A request holds a permit meanwhile, so a zone that cannot
+// keep records would otherwise block the requests that need none.
+const (
+	// recordTimeout covers an election and a commit.
+	recordTimeout = 1500 * time.Millisecond
+	// recordPatience is how long the own zone may be without a leader before records are
+	// refused at once.
+	recordPatience = 1500 * clock.Millisecond
+)
+
 // propose commits a command of a record in the owner zone's log.
 func (r records) propose(ctx context.Context, owner model.Zone, c state.Command) (state.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
 	if owner == r.server.settings.Instance.Zone {
+		if alone := r.server.leaderless(); alone > recordPatience {
+			return state.Result{}, fault.Wrap(fault.ErrUnavailable, "zone %s has had no leader for %s", owner, alone)
+		}
 		return r.server.zoneLog.Propose(ctx, c)
 	}
 	data, err := state.EncodeCommand(c)
--- a/vbridged/server/groups.go
+++ b/vbridged/server/groups.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
 	"vanillabridge/core/quorum"
 	"vanillabridge/core/trace"
@@ -191,9 +192,17 @@
 		if until, term := s.zoneGroup.Lease(); s.clock.Now() < until {
 			s.entry.Lead(model.Epoch(term), until)
 		}
+		if leader, _, _ := s.zoneGroup.Leader(); leader != "" {
+			s.leaderSeen.Store(int64(s.clock.Now()))
+		}
 	}
 }
 
+// leaderless returns for how long this instance has known no leader of its zone's group.
+func (s *Server) leaderless() clock.Millis {
+	return s.clock.Now() - clock.Millis(s.leaderSeen.Load())
+}
+
 const leadEvery = 50 * time.Millisecond
 
 // schedOptions leaves the log open until the group exists; the scheduler runs only later.
--- a/vbridged/server/server.go
+++ b/vbridged/server/server.go
@@ -51,6 +51,8 @@
 	drainOnce sync.Once
 	drain     chan struct{} // closed when a planned stop was asked for
 	joined    atomic.Bool   // see caughtUp
+
+	leaderSeen atomic.Int64 // when a leader of the zone's group was last known
 }
 
 // Options are what a Server needs besides its settings.
--- a/vbstand/chaos/kinds_test.go
+++ b/vbstand/chaos/kinds_test.go
@@ -154,6 +154,29 @@
 	})
 }
 
+// Guards against a zone that is cut off, loses one of its two instances and with it the majority
+// of its group, and then serves nothing: the last instance has its floor of permits.
+func TestLoneInstance(t *testing.T) {
+	scenario(t, "lone", func(c *cluster) {
+		c.cut("north-a", true)
+		c.kill("north1")
+		time.Sleep(5 * time.Second)
+		opt := c.options("lone", 3, [3]int{1, 1, 1}, 100)
+		opt.Entries, opt.Once, opt.Resends = []string{c.find("north2").http}, 0, 0
+		done := 0
+		for _, s := range c.generate(c.t.Context(), opt) {
+			if s.Told == record.ToldDone && s.Whole {
+				done++
+			}
+		}
+		if done < 95 {
+			c.t.Errorf("the lone instance served %d of 100 requests", done)
+		}
+		c.cut("north-a", false)
+		c.startInstance("north1", false)
+	})
+}
+
 // Guards against harm when a leader is paused while another zone is cut off.
 func TestPauseAndCut(t *testing.T) {
 	scenario(t, "two", func(c *cluster) {
