Judge a submission against the document that it replaces; bound operators' requests

The check that a batch or gang keeps its zones looked at this instance's replica of the cell, which may lag behind; it now catches up first. A request for a group without a majority waited as long as its client; it is answered after 10 s.

--- a/vbridged/admin/router.go
+++ b/vbridged/admin/router.go
@@ -1,7 +1,9 @@
 package admin
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,6 +31,7 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = respondError
+	e.Use(bounded)
 	h := handlers{service: o.Service}
 	e.POST("/v1/config", h.submit)
 	e.GET("/v1/config", h.config)
@@ -46,6 +49,20 @@
 	return route{entry: o.Entry, rest: e}
 }
 
+// requestTimeout bounds a request that waits for a group without a majority. It is longer than
+// an election, and shorter than clients usually wait.
+const requestTimeout = 10 * time.Second
+
+// bounded gives each request a deadline.
+func bounded(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		ctx, cancel := context.WithTimeout(c.Request().Context(), requestTimeout)
+		defer cancel()
+		c.SetRequest(c.Request().WithContext(ctx))
+		return next(c)
+	}
+}
+
 // route hands callers' requests to their handler directly: echo would buffer nothing either,
 // but its router would reject methods and paths that a backend server may accept.
 type route struct {
--- a/vbridged/server/configs.go
+++ b/vbridged/server/configs.go
@@ -103,6 +103,10 @@
 		s.recorder.Record(trace.ConfigRefused{Subject: s.about(), Version: document.Version(), Reason: err.Error()})
 		return proto.SubmitReply{}, err
 	}
+	// The check below needs the document that this one replaces, not an older one.
+	if err := s.cellGroup.Barrier(ctx); err != nil {
+		return proto.SubmitReply{}, err
+	}
 	if err := s.checkMoves(checked); err != nil {
 		return proto.SubmitReply{}, err
 	}
