--- a/vbridged/server/configs.go
+++ b/vbridged/server/configs.go
@@ -176,20 +176,7 @@
 	return proto.ConfigReply{Version: v.version, Document: v.document}, nil
 }
 
-// adoptLoop lets the zone leader write a newer configuration of the cell into the zone's log.
-func (s *Server) adoptLoop(ctx context.Context) {
-	ticker := time.NewTicker(adoptEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.adopt(ctx)
-		}
-	}
-}
-
+// adopt lets the zone leader write a newer configuration of the cell into the zone's log.
 func (s *Server) adopt(ctx context.Context) {
 	if _, leading := s.Leading(); !leading {
 		return
--- a/vbridged/server/groups.go
+++ b/vbridged/server/groups.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"path/filepath"
 	"slices"
 	"time"
@@ -179,22 +178,14 @@
 	return model.Epoch(term), s.clock.Now() < until
 }
 
-// leadLoop keeps the granter of permits informed of the leader's lease.
-func (s *Server) leadLoop(ctx context.Context) {
-	ticker := time.NewTicker(leadEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if until, term := s.zoneGroup.Lease(); s.clock.Now() < until {
-			s.entry.Lead(model.Epoch(term), until)
-		}
-		if leader, _, _ := s.zoneGroup.Leader(); leader != "" {
-			s.leaderSeen.Store(int64(s.clock.Now()))
-		}
+// noteLeader keeps the granter of permits informed of the leader's lease, and notes when a
+// leader was last known.
+func (s *Server) noteLeader() {
+	if until, term := s.zoneGroup.Lease(); s.clock.Now() < until {
+		s.entry.Lead(model.Epoch(term), until)
+	}
+	if leader, _, _ := s.zoneGroup.Leader(); leader != "" {
+		s.leaderSeen.Store(int64(s.clock.Now()))
 	}
 }
 
--- a/vbridged/server/server.go
+++ b/vbridged/server/server.go
@@ -138,9 +138,9 @@
 	s.net.Serve(peers)
 	wait.Go(func() { s.sched.Run(work) })
 	wait.Go(func() { s.entry.Run(work) })
-	wait.Go(func() { s.adoptLoop(work) })
-	wait.Go(func() { s.leadLoop(work) })
-	wait.Go(func() { s.flushLoop(work) })
+	wait.Go(func() { every(work, adoptEvery, func() { s.adopt(work) }) })
+	wait.Go(func() { every(work, leadEvery, s.noteLeader) })
+	wait.Go(func() { every(work, flushEvery, s.flush) })
 	failed := make(chan error, 1)
 	go func() { failed <- s.http.Serve(callers) }()
 	klog.InfoS("serving", "instance", s.settings.Instance.Name, "zone", s.settings.Instance.Zone,
@@ -220,15 +220,19 @@
 
 const handoverTimeout = 2 * time.Second
 
-func (s *Server) flushLoop(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
+// flushEvery is the period at which the timeline is written to its file.
+const flushEvery = time.Second
+
+// every calls f periodically until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.flush()
+			f()
 		}
 	}
 }
