Run on a platform whose workers are called: jobs of several steps, plan, fronts and adapter

The group takes its peers at run time and a wanted number of voters; peer connections are added and removed at run time.

--- /dev/null
+++ b/core/plan/ask.go
@@ -0,0 +1,176 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/flow"
+	"vanillabridge/core/model"
+)
+
+// advice is what the ticket service has said about a step. Which workers may run it doesn't
+// change; only tickets run out.
+type advice struct {
+	tickets map[Life]ticket
+	denied  map[Life]bool
+	ask     uint64 // number of the call in progress, or 0
+	next    clock.Millis
+}
+
+type ticket struct {
+	text  string
+	until clock.Millis // on the leader's clock
+}
+
+// caller is an instance that makes ticket calls. The service takes one call of it at a time.
+type caller struct {
+	name  model.Instance
+	until clock.Millis // when its calls are expected to be answered
+}
+
+// asking is a ticket call in progress.
+type asking struct {
+	ask   Ask
+	phase *phase
+	lives []Life
+	due   clock.Millis // when it counts as lost
+}
+
+func (p *Planner) setCallers(list []model.Instance) {
+	old := map[model.Instance]*caller{}
+	for _, c := range p.callers {
+		old[c.name] = c
+	}
+	p.callers = nil
+	for _, name := range list {
+		c := old[name]
+		if c == nil {
+			c = &caller{name: name}
+		}
+		p.callers = append(p.callers, c)
+	}
+	p.moved = true
+}
+
+// pickCaller returns the caller that is free first. Long calls leave part of the callers to short
+// ones: behind a call of half a second, a step of an urgent queue would miss its objective.
+func (p *Planner) pickCaller(length clock.Millis) *caller {
+	list := p.callers
+	if reserved := len(list) / reservedPart; length > shortAsk {
+		list = list[reserved:]
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return slices.MinFunc(list, func(a, b *caller) int { return cmp.Compare(a.until, b.until) })
+}
+
+// askAbout calls the ticket service about workers for a step.
+func (p *Planner) askAbout(ph *phase, list []*worker) {
+	policy := ph.job.Queue.Policy
+	list = list[:min(len(list), mostAsked)]
+	if len(list) == 0 || ph.advice.ask != 0 || p.now < ph.advice.next {
+		return
+	}
+	length := policy.Decide + clock.Millis(policy.Each*int64(len(list))/1000)
+	c := p.pickCaller(length)
+	if c == nil {
+		return
+	}
+	c.until = max(c.until, p.now) + length
+	p.askNumber++
+	a := &asking{phase: ph, due: c.until + askTimeout}
+	a.ask = Ask{Task: ph.name, Caller: c.name, Number: p.askNumber}
+	for _, w := range list {
+		a.ask.Workers = append(a.ask.Workers, w.ID)
+		a.lives = append(a.lives, w.life())
+	}
+	p.asks[p.askNumber] = a
+	ph.advice.ask = p.askNumber
+	p.out = append(p.out, a.ask)
+}
+
+// advised takes the answer of the ticket service in.
+func (p *Planner) advised(e Advised) {
+	a := p.asks[e.Ask.Number]
+	if a == nil {
+		return
+	}
+	delete(p.asks, e.Ask.Number)
+	ad := &a.phase.advice
+	ad.ask = 0
+	p.moved = true
+	if !e.OK {
+		ad.next = p.now + askAgain
+		p.releaseHolds(a.phase)
+		return
+	}
+	if ad.tickets == nil {
+		ad.tickets, ad.denied = map[Life]ticket{}, map[Life]bool{}
+	}
+	for _, l := range a.lives {
+		if text, ok := e.Tickets[l.ID]; ok {
+			ad.tickets[l] = ticket{text: text, until: p.now + e.Valid - ticketMargin}
+		} else {
+			ad.denied[l] = true
+			delete(ad.tickets, l)
+		}
+	}
+	p.note(Note{
+		Event: "tickets received", Job: a.phase.name.Job, Task: a.phase.name.Phase(),
+		Cause: string(a.ask.Caller), Attempt: len(e.Tickets),
+	})
+}
+
+// tickAsks gives up ticket calls whose answer is long overdue.
+func (p *Planner) tickAsks() {
+	for number, a := range p.asks {
+		if p.now >= a.due {
+			delete(p.asks, number)
+			a.phase.advice.ask = 0
+			p.releaseHolds(a.phase)
+		}
+	}
+}
+
+func (ph *phase) dropTicket(id model.WorkerID) {
+	for l := range ph.advice.tickets {
+		if l.ID == id {
+			ph.advice.tickets[l] = ticket{}
+		}
+	}
+}
+
+// permitted is how far a worker may run a step.
+type permitted uint8
+
+const (
+	forbidden permitted = iota
+	unasked
+	expired
+	allowed
+)
+
+func (ph *phase) permit(now clock.Millis, w *worker) permitted {
+	if ph.job.Queue.Policy == nil {
+		return allowed
+	}
+	l := w.life()
+	if ph.advice.denied[l] {
+		return forbidden
+	}
+	t, ok := ph.advice.tickets[l]
+	switch {
+	case !ok:
+		return unasked
+	case now < t.until:
+		return allowed
+	}
+	return expired
+}
+
+// isStep reports whether a task belongs to the phase.
+func (ph *phase) isStep(t flow.Task) bool {
+	return t.Job == ph.name.Job && t.Run == ph.name.Run && t.Step == ph.name.Step
+}
--- /dev/null
+++ b/core/plan/params.go
@@ -0,0 +1,58 @@
+package plan
+
+import "vanillabridge/core/clock"
+
+// Config holds the times that the deployment sets.
+type Config struct {
+	// Lease is how long tasks run on without contact. It is longer than a change of leader.
+	Lease clock.Millis
+	// MaxLease is the longest lease that workers grant.
+	MaxLease clock.Millis
+	// Stop is how long a worker takes at most to stop a task.
+	Stop clock.Millis
+	// Gang is how long a gang member waits for the others.
+	Gang clock.Millis
+	// Offset is the time since 1970 less the leader's clock when the planner started.
+	Offset clock.Millis
+}
+
+const (
+	// orderLife is how long a start order is valid: longer than two transits between regions and a
+	// repeat, shorter than the 2 s after which late orders are carried out.
+	orderLife = 1500 * clock.Millisecond
+	// repeats is how often a start without an answer is sent again.
+	repeats = 2
+	// driftPercent is how slow a worker's clock may run.
+	driftPercent = 2
+	// contactFor is how long after its last report a worker gets new tasks. Reports come at least
+	// every holdWait and a transit.
+	contactFor = 2 * clock.Second
+	// holdWait is how long a worker waits for an end before it reports.
+	holdWait = 800 * clock.Millisecond
+	// holdGap bounds the reports of a busy worker: ends within this time share one.
+	holdGap = 25 * clock.Millisecond
+	// retryGap is the pause before a worker that failed to answer is asked again.
+	retryGap = 250 * clock.Millisecond
+	// refusals is how many refused connections in a row mean that a worker's life is over.
+	refusals = 2
+	// stopEvery is the time between two orders to stop the same attempt.
+	stopEvery = 500 * clock.Millisecond
+	// dismissAfter is how long a worker may be unreachable before it is forgotten.
+	dismissAfter = 20 * clock.Second
+	// mostAsked is the number of workers that one ticket call may name.
+	mostAsked = 100
+	// ticketMargin is the part of a ticket's life kept for the commit and the order's transit.
+	ticketMargin = 300 * clock.Millisecond
+	// askTimeout is the time beyond the expected one after which a ticket call counts as lost.
+	askTimeout = 3 * clock.Second
+	// askAgain is the pause after a failed ticket call.
+	askAgain = 200 * clock.Millisecond
+	// shortAsk separates ticket calls that may use every caller from those kept off the reserved ones.
+	shortAsk = 100 * clock.Millisecond
+	// reservedPart is the part of the callers that long ticket calls leave free.
+	reservedPart = 3
+	// collectAfter is how long a gang waits before room is kept free for it.
+	collectAfter = 500 * clock.Millisecond
+	// collectors bounds the gangs for which room is kept free at one time.
+	collectors = 2
+)
--- /dev/null
+++ b/core/plan/planner.go
@@ -0,0 +1,176 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/flow"
+	"vanillabridge/core/ledger"
+	"vanillabridge/core/model"
+)
+
+// Planner is the plan of one leader for one term. It reads the replicated state, which must show
+// each command before the planner gets its Applied event.
+type Planner struct {
+	cfg     Config
+	state   *ledger.State
+	now     clock.Millis
+	workers map[model.WorkerID]*worker
+	order   []*worker // all workers by identifier; nil when it must be made anew
+	jobs    map[model.JobID]*job
+	// ready holds the phases with waiting tasks whose turn has come.
+	ready []*phase
+
+	callers   []*caller
+	askNumber uint64
+	asks      map[uint64]*asking
+
+	// Collected during a step and emitted at its end.
+	out        []Decision
+	placements []ledger.Placement
+	endings    []ledger.Ending
+	touched    []*worker // with ends taken in during the step
+	// settling holds the ends of the settlements in progress, in the order of the log.
+	settling []seenBatch
+	// moved says that room or tickets have changed, so that waiting phases are looked at again.
+	moved bool
+}
+
+// New returns a planner that continues from the replicated state.
+func New(now clock.Millis, cfg Config, state *ledger.State) (*Planner, []Decision) {
+	p := &Planner{
+		cfg: cfg, state: state, now: now,
+		workers: map[model.WorkerID]*worker{},
+		jobs:    map[model.JobID]*job{},
+		asks:    map[uint64]*asking{},
+	}
+	ids := make([]model.WorkerID, 0, len(state.Workers()))
+	for id := range state.Workers() {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		p.addWorker(now, state.Workers()[id])
+	}
+	jobs := make([]model.JobID, 0, len(state.Jobs()))
+	for id := range state.Jobs() {
+		jobs = append(jobs, id)
+	}
+	slices.Sort(jobs)
+	for _, id := range jobs {
+		p.addJob(state.Jobs()[id])
+	}
+	return p, p.finish()
+}
+
+// Step takes an event in and returns what follows.
+func (p *Planner) Step(now clock.Millis, e Event) []Decision {
+	p.now = max(p.now, now)
+	switch e := e.(type) {
+	case Applied:
+		p.applied(e.Command)
+	case Reported:
+		p.report(p.now, e)
+	case Unreached:
+		p.unreached(p.now, e)
+	case Answered:
+		p.answered(e)
+	case Advised:
+		p.advised(e)
+	case Callers:
+		p.setCallers(e.List)
+	case Tick:
+		p.tickWorkers(p.now)
+		p.tickTasks()
+		p.tickAsks()
+		p.tickDue()
+		p.moved = true
+	}
+	return p.finish()
+}
+
+// finish places what can be placed and collects the decisions of a step.
+func (p *Planner) finish() []Decision {
+	if p.moved {
+		p.moved = false
+		p.place()
+	}
+	if len(p.placements) > 0 {
+		p.propose(ledger.Assign{Items: p.placements})
+		p.placements = nil
+	}
+	settle := len(p.endings) > 0
+	if settle {
+		p.propose(ledger.Settle{Items: p.endings, Now: p.now + p.cfg.Offset})
+		p.endings = nil
+	}
+	p.queueSeen(settle)
+	out := p.out
+	p.out = nil
+	return out
+}
+
+func (p *Planner) applied(c ledger.Command) {
+	switch c := c.(type) {
+	case ledger.Submit:
+		_, rest, ok := p.state.Config().Lookup(c.Host, c.Path)
+		id := model.JobID(rest)
+		if j := p.state.Job(id); ok && j != nil && p.jobs[id] == nil {
+			p.addJob(j)
+		}
+	case ledger.Cancel:
+		_, rest, _ := p.state.Config().Lookup(c.Host, c.Path)
+		if j := p.jobs[model.JobID(rest)]; j != nil && j.Over() {
+			p.closeJob(j, "job was cancelled")
+		}
+	case ledger.Enlist:
+		if w, ok := p.state.Workers()[c.Worker.ID]; ok {
+			p.addWorker(p.now, w)
+		}
+	case ledger.Dismiss:
+		p.dropWorker(c.ID, c.Born)
+	case ledger.Assign:
+		p.assigned(c)
+	case ledger.Settle:
+		p.settled(c)
+	case ledger.Forget:
+		for id := range p.jobs {
+			if p.state.Job(id) == nil {
+				delete(p.jobs, id)
+			}
+		}
+	case ledger.Configure:
+	}
+	p.moved = true
+}
+
+func (p *Planner) propose(c ledger.Command) { p.out = append(p.out, Propose{Command: c}) }
+
+func (p *Planner) note(n Note) { p.out = append(p.out, n) }
+
+// sortedWorkers returns all workers by identifier, so that equal inputs give equal decisions.
+func (p *Planner) sortedWorkers() []*worker {
+	if p.order == nil {
+		p.order = make([]*worker, 0, len(p.workers))
+		for _, w := range p.workers {
+			p.order = append(p.order, w)
+		}
+		slices.SortFunc(p.order, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return p.order
+}
+
+// sorted returns the tasks of a worker in a fixed order.
+func (w *worker) sorted() []*task {
+	list := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *task) int { return compareTask(a.name, b.name) })
+	return list
+}
+
+func compareTask(a, b flow.Task) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Run, b.Run), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
--- a/core/quorum/config.go
+++ b/core/quorum/config.go
@@ -91,6 +91,8 @@
 	Peers []Peer
 	// Founders names the voters of the first membership.
 	Founders []model.Instance
+	// Wanted is the number of voters, wherever they are; 0 means as many in each zone as founders.
+	Wanted int
 	// Boot allows this replica, while empty, to take part in founding the group.
 	Boot   bool
 	Timing Timing
--- a/core/quorum/member.go
+++ b/core/quorum/member.go
@@ -131,6 +131,9 @@
 
 // missing returns how many voters a place lacks; it is negative if there are too many.
 func (n *Node) missing(at place) int {
+	if n.cfg.Wanted > 0 {
+		return n.cfg.Wanted - len(n.voters())
+	}
 	count := 0
 	for _, f := range n.cfg.Founders {
 		if p, _ := n.cfg.peer(f); (place{p.Zone, p.Witness}) == at {
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -131,6 +131,8 @@
 		n.read(in.ID)
 	case Handover:
 		n.handover()
+	case Peers:
+		n.cfg.Peers = in.List
 	}
 	return n.finish()
 }
--- a/core/quorum/port.go
+++ b/core/quorum/port.go
@@ -35,6 +35,10 @@
 // Read asks for an index such that a state that has applied it is linearizable.
 type Read struct{ ID uint64 }
 
+// Peers replaces the list of instances that may serve in the group, for groups whose instances
+// are found at run time. The list must hold this instance.
+type Peers struct{ List []Peer }
+
 // Handover asks the leader to pass leadership to another voter.
 type Handover struct{}
 
@@ -46,6 +50,7 @@
 func (Loaded) input()      {}
 func (Read) input()        {}
 func (Handover) input()    {}
+func (Peers) input()       {}
 
 // Output is what a Node asks its runtime to do, in order.
 type Output interface{ output() }
--- /dev/null
+++ b/vbridged/fleet/options.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+	"vanillabridge/vbridged/peer"
+)
+
+// Options describe one instance of a domain.
+type Options struct {
+	// Self is how other instances reach this one. Its Instance is the IP address, under which the
+	// seeds are known.
+	Self peer.Address
+	// Seeds are instances of the core.
+	Seeds []peer.Address
+	// Folder holds the durable state of a core; empty for other instances.
+	Folder string
+	// Bootstrap says that the whole domain starts for the first time.
+	Bootstrap bool
+	// Losses is how many cores may be lost at one time.
+	Losses int
+
+	// Lease is how long tasks run on without contact to the leader; MaxLease what workers grant.
+	Lease, MaxLease clock.Millis
+	// StopTime is how long a worker takes at most to stop a task.
+	StopTime clock.Millis
+	// GangTime is how long a gang member waits for the others.
+	GangTime clock.Millis
+	// Keep is how long the state of an ended job is kept.
+	Keep clock.Millis
+
+	Workers Workers
+	Tickets Tickets
+	Clock   clock.Source
+	// Life tells two processes of the same instance apart in logs.
+	Life model.Incarnation
+}
+
+// Timing of the domain.
+const (
+	// electionTime is the time without a leader after which cores elect another. It covers several
+	// round trips between regions.
+	electionTime = 1000 * clock.Millisecond
+	// heartbeatTime lets three heartbeats be lost before an election.
+	heartbeatTime = 200 * clock.Millisecond
+	// silentTime is how long a core is silent before a spare one replaces it.
+	silentTime = 2500 * clock.Millisecond
+	// attendEvery is how often instances announce themselves.
+	attendEvery = clock.Second
+	// attendTimeout bounds an announcement.
+	attendTimeout = 800 * clock.Millisecond
+	// goneAfter is how long after its last announcement an instance is not asked for anything.
+	goneAfter = 3 * clock.Second
+	// tickEvery is how often the plan sees time pass without other events.
+	tickEvery = 50 * clock.Millisecond
+	// forgetEvery is how often ended jobs are dropped.
+	forgetEvery = 10 * clock.Second
+	// orderTimeout bounds a start or stop: two transits between regions and time to work.
+	orderTimeout = 600 * clock.Millisecond
+	// holdSlack is the time beyond the wait of a hold after which it counts as unanswered.
+	holdSlack = 600 * clock.Millisecond
+	// adviseTimeout bounds a ticket call, which may wait for earlier calls of this instance.
+	adviseTimeout = 5 * clock.Second
+	// tryTimeout bounds one try of a front at a leader.
+	tryTimeout = 900 * clock.Millisecond
+	// patience is how long a front waits for a leader before it refuses.
+	patience = 1500 * clock.Millisecond
+	// retryLeaderless is what refused callers are told while there is no leader.
+	retryLeaderless = clock.Second
+)
--- a/vbridged/group/config.go
+++ b/vbridged/group/config.go
@@ -46,6 +46,8 @@
 	Peers []quorum.Peer
 	// Voters names the voters of the first membership.
 	Voters []model.Instance
+	// Wanted is the number of voters, wherever they are; 0 means as many in each zone as Voters has.
+	Wanted int
 	// Bootstrap lets this replica found the group while it is empty.
 	Bootstrap bool
 	// Folder holds the data of this group alone; if empty, everything is kept in memory.
--- a/vbridged/group/group.go
+++ b/vbridged/group/group.go
@@ -113,7 +113,7 @@
 		}
 	}
 	node, err := quorum.New(g.cfg.Clock.Now(), quorum.Config{
-		Group: g.cfg.Group, Self: g.self, Peers: g.cfg.Peers, Founders: g.cfg.Voters,
+		Group: g.cfg.Group, Self: g.self, Peers: g.cfg.Peers, Founders: g.cfg.Voters, Wanted: g.cfg.Wanted,
 		Boot: g.cfg.Bootstrap, Timing: g.cfg.Timing, Limits: g.cfg.Limits, Seed: random(),
 	}, r)
 	if err != nil {
@@ -134,6 +134,11 @@
 	g.events.push(event{in: quorum.Receive{Message: m}})
 }
 
+// SetPeers replaces the list of instances that may serve in the group.
+func (g *Group) SetPeers(list []quorum.Peer) {
+	g.events.push(event{in: quorum.Peers{List: list}})
+}
+
 // run owns the node.
 func (g *Group) run() {
 	ticker := time.NewTicker((g.cfg.Timing.Heartbeat / ticksPerHeartbeat).Std())
--- a/vbridged/group/propose.go
+++ b/vbridged/group/propose.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// Offer proposes at this replica without waiting; offers are appended in the order of the calls.
+// done is called once, from another goroutine, with what ProposeHere would return.
+func (g *Group) Offer(data []byte, done func(result []byte, err error)) {
+	if err := g.refusal(); err != nil {
+		go done(nil, err)
+		return
+	}
+	w := &waiter{id: g.nextID.Add(1), data: data, done: make(chan struct{})}
+	g.events.push(event{proposal: w})
+	go func() {
+		select {
+		case <-w.done:
+			done(w.result, w.err)
+		case <-g.done:
+			done(g.abandon(w, g.Err()))
+		}
+	}()
+}
+
 // refusal says why this replica takes no proposals, or returns nil.
 func (g *Group) refusal() error {
 	g.mu.Lock()
--- a/vbridged/peer/link.go
+++ b/vbridged/peer/link.go
@@ -34,9 +34,11 @@
 
 // link is the dialling side of the connection to one peer.
 type link struct {
-	net   *Net
-	to    Address
-	queue chan message
+	net    *Net
+	to     Address
+	queue  chan message
+	ctx    context.Context // ends with the Net, or when the peer is removed
+	cancel context.CancelFunc
 
 	mu      sync.Mutex
 	current *jsonrpc2.Conn // nil while the connection is down
@@ -48,12 +50,13 @@
 }
 
 func newLink(n *Net, to Address) *link {
-	return &link{net: n, to: to, queue: make(chan message, queueLength)}
+	ctx, cancel := context.WithCancel(n.ctx)
+	return &link{net: n, to: to, queue: make(chan message, queueLength), ctx: ctx, cancel: cancel}
 }
 
 // run keeps one connection up until the Net closes.
 func (l *link) run() {
-	for l.net.ctx.Err() == nil {
+	for l.ctx.Err() == nil {
 		c, err := l.dial()
 		if err != nil {
 			klog.V(2).InfoS("dial of a peer failed", "peer", l.to.Instance, "address", l.to.Peer, "error", err.Error())
@@ -69,7 +72,7 @@
 }
 
 func (l *link) dial() (*jsonrpc2.Conn, error) {
-	ctx, cancel := context.WithTimeout(l.net.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.to.Peer)
 	if err != nil {
@@ -82,7 +85,7 @@
 	count := func(sent, received int) { l.net.bytes.wire(crosses, sent, received) }
 	timed := timedConn{Conn: raw, read: readTimeout, write: writeTimeout, count: count}
 	stream := jsonrpc2.NewBufferedStream(timed, codec{})
-	c := jsonrpc2.NewConn(l.net.ctx, stream, refuse{}, append(l.net.stampOptions(), jsonrpc2.SetLogger(quiet{}))...)
+	c := jsonrpc2.NewConn(l.ctx, stream, refuse{}, append(l.net.stampOptions(), jsonrpc2.SetLogger(quiet{}))...)
 	h := hello{Instance: l.net.self.Instance, Region: l.net.self.Region}
 	if err := c.Call(ctx, methodHello, h, nil); err != nil {
 		_ = c.Close()
@@ -108,14 +111,14 @@
 	go l.ping(c, failed)
 	for {
 		select {
-		case <-l.net.ctx.Done():
+		case <-l.ctx.Done():
 			return
 		case <-c.DisconnectNotify():
 			return
 		case <-failed:
 			return
 		case m := <-l.queue:
-			if err := c.Notify(l.net.ctx, m.method, m.params); err != nil {
+			if err := c.Notify(l.ctx, m.method, m.params); err != nil {
 				return
 			}
 		}
@@ -126,21 +129,21 @@
 // of both sides from passing on a quiet connection.
 func (l *link) ping(c *jsonrpc2.Conn, failed chan<- struct{}) {
 	defer close(failed)
-	period := pingLocal
+	period := l.net.pings.Local
 	if l.net.crosses(l.to.Region) {
-		period = pingAcross
+		period = l.net.pings.Across
 	}
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-l.net.ctx.Done():
+		case <-l.ctx.Done():
 			return
 		case <-c.DisconnectNotify():
 			return
 		case <-ticker.C:
 		}
-		ctx, cancel := context.WithTimeout(l.net.ctx, pingTimeout)
+		ctx, cancel := context.WithTimeout(l.ctx, l.net.pings.Timeout)
 		err := c.Call(ctx, methodPing, nil, nil)
 		cancel()
 		if err != nil {
@@ -162,7 +165,7 @@
 
 func (l *link) pause() {
 	select {
-	case <-l.net.ctx.Done():
+	case <-l.ctx.Done():
 	case <-time.After(redialPause):
 	}
 }
--- a/vbridged/peer/net.go
+++ b/vbridged/peer/net.go
@@ -5,7 +5,9 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +41,8 @@
 // sends its own requests over that connection; answers come back over it.
 type Net struct {
 	self   Address
-	peers  map[model.Instance]*link
 	tls    TLS
+	pings  Pings
 	stamps Stamps
 	bytes  *Counter
 
@@ -49,6 +51,8 @@
 	wait   sync.WaitGroup
 
 	mu       sync.Mutex
+	peers    map[model.Instance]*link
+	serving  bool
 	handlers map[string]Handler
 	listener net.Listener
 	accepted map[*jsonrpc2.Conn]struct{}
@@ -62,6 +66,7 @@
 		self:     self,
 		peers:    map[model.Instance]*link{},
 		tls:      tlsConfig,
+		pings:    DefaultPings(),
 		stamps:   stamps,
 		bytes:    newCounter(),
 		ctx:      ctx,
@@ -75,6 +80,59 @@
 	return n
 }
 
+// Pings says how a silent connection is noticed: after Local or Across, by where the peer is, and
+// Timeout.
+type Pings struct{ Local, Across, Timeout time.Duration }
+
+// DefaultPings spares bytes across regions, which are paid for.
+func DefaultPings() Pings {
+	return Pings{Local: pingLocal, Across: pingAcross, Timeout: pingTimeout}
+}
+
+// SetPings replaces the default, before Serve.
+func (n *Net) SetPings(p Pings) { n.pings = p }
+
+// Add connects to a further peer, or to a known one at its new address.
+func (n *Net) Add(a Address) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.peers[a.Instance]; old != nil {
+		if old.to == a {
+			return
+		}
+		old.cancel()
+	}
+	l := newLink(n, a)
+	n.peers[a.Instance] = l
+	if n.serving {
+		n.wait.Go(l.run)
+	}
+}
+
+// Remove ends the connection to a peer.
+func (n *Net) Remove(name model.Instance) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.peers[name]; l != nil {
+		l.cancel()
+		delete(n.peers, name)
+	}
+}
+
+// Peers returns the names of all peers.
+func (n *Net) Peers() []model.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Sorted(maps.Keys(n.peers))
+}
+
+func (n *Net) link(name model.Instance) (*link, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.peers[name]
+	return l, ok
+}
+
 // Handle registers the handler of a method, before Serve.
 func (n *Net) Handle(method string, h Handler) {
 	n.mu.Lock()
@@ -88,8 +146,8 @@
 // Serve accepts connections on l until Close.
 func (n *Net) Serve(l net.Listener) {
 	n.mu.Lock()
-	n.listener = l
-	n.mu.Unlock()
+	defer n.mu.Unlock()
+	n.listener, n.serving = l, true
 	n.wait.Go(func() { n.accept(l) })
 	for _, p := range n.peers {
 		n.wait.Go(p.run)
@@ -113,9 +171,9 @@
 // Call sends a request and waits for the answer. An error says whether the request may have
 // had an effect: ErrUnavailable if it surely had none, ErrUnknown if that is open.
 func (n *Net) Call(ctx context.Context, to model.Instance, method string, params, result any) error {
-	p, ok := n.peers[to]
+	p, ok := n.link(to)
 	if !ok {
-		return fault.Wrap(fault.ErrUnavailable, "call %s: no peer %q in the settings", method, to)
+		return fault.Wrap(fault.ErrUnavailable, "call %s: no peer %q is known", method, to)
 	}
 	return p.call(ctx, method, params, result)
 }
@@ -123,14 +181,14 @@
 // Notify queues a message that has no answer; it is dropped when the queue is full or the
 // peer cannot be reached.
 func (n *Net) Notify(to model.Instance, method string, params any) {
-	if p, ok := n.peers[to]; ok {
+	if p, ok := n.link(to); ok {
 		p.notify(method, params)
 	}
 }
 
 // IsReached reports whether a connection to the peer is up.
 func (n *Net) IsReached(to model.Instance) bool {
-	p, ok := n.peers[to]
+	p, ok := n.link(to)
 	return ok && p.conn() != nil
 }
 
