--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"vanillabridge/core/clock"
-	"vanillabridge/core/flow"
 	"vanillabridge/core/model"
 )
 
@@ -15,6 +14,7 @@
 	tickets map[Life]ticket
 	denied  map[Life]bool
 	ask     uint64 // number of the call in progress, or 0
+	asked   bool   // an answer has come
 	next    clock.Millis
 }
 
@@ -66,17 +66,17 @@
 	return slices.MinFunc(list, func(a, b *caller) int { return cmp.Compare(a.until, b.until) })
 }
 
-// askAbout calls the ticket service about workers for a step.
-func (p *Planner) askAbout(ph *phase, list []*worker) {
+// askAbout calls the ticket service about workers for a step, and reports whether it does.
+func (p *Planner) askAbout(ph *phase, list []*worker) bool {
 	policy := ph.job.Queue.Policy
 	list = list[:min(len(list), mostAsked)]
 	if len(list) == 0 || ph.advice.ask != 0 || p.now < ph.advice.next {
-		return
+		return false
 	}
 	length := policy.Decide + clock.Millis(policy.Each*int64(len(list))/1000)
 	c := p.pickCaller(length)
 	if c == nil {
-		return
+		return false
 	}
 	c.until = max(c.until, p.now) + length
 	p.askNumber++
@@ -89,6 +89,7 @@
 	p.asks[p.askNumber] = a
 	ph.advice.ask = p.askNumber
 	p.out = append(p.out, a.ask)
+	return true
 }
 
 // advised takes the answer of the ticket service in.
@@ -101,11 +102,13 @@
 	ad := &a.phase.advice
 	ad.ask = 0
 	p.moved = true
+	p.urgent = true
 	if !e.OK {
 		ad.next = p.now + askAgain
 		p.releaseHolds(a.phase)
 		return
 	}
+	ad.asked = true
 	if ad.tickets == nil {
 		ad.tickets, ad.denied = map[Life]ticket{}, map[Life]bool{}
 	}
@@ -169,8 +172,3 @@
 	}
 	return expired
 }
-
-// isStep reports whether a task belongs to the phase.
-func (ph *phase) isStep(t flow.Task) bool {
-	return t.Job == ph.name.Job && t.Run == ph.name.Run && t.Step == ph.name.Step
-}
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -30,6 +30,12 @@
 	done   bool
 	advice advice
 	holds  []hold
+	// latest is when the step has to start so that its occurrence ends on time, and late so that it
+	// still earns something.
+	latest, late clock.Millis
+	// idle holds the indexes of waiting tasks unless stale.
+	idle  []int
+	stale bool
 }
 
 func (j *job) phase(t flow.Task) *phase { return j.runs[t.Run][t.Step] }
@@ -61,47 +67,46 @@
 // waiting returns the indexes of tasks that may be placed now. A gang waits until its last
 // attempt is settled as a whole.
 func (ph *phase) waiting() []int {
+	if !ph.stale {
+		return ph.idle
+	}
+	ph.stale = false
+	ph.idle = ph.idle[:0]
 	if ph.shape.Gang && len(ph.tasks) > 0 {
 		return nil
 	}
-	var list []int
 	slots := ph.record().Slots
 	for i := range slots {
 		if !slots[i].Done && ph.tasks[i] == nil {
-			list = append(list, i)
+			ph.idle = append(ph.idle, i)
 		}
 	}
-	return list
+	return ph.idle
 }
 
 func (ph *phase) forgetTask(t *task) {
+	ph.stale = true
 	if ph.tasks[t.name.Index] == t {
 		delete(ph.tasks, t.name.Index)
 	}
 }
 
-// objective returns when a job has to be done to count as on time.
-func (j *job) objective() clock.Millis {
-	q := j.Queue
-	return j.accepted + q.Target + clock.Millis(q.Stretch*float64(j.runs[0][0].longest()))
-}
-
-// longest returns the longest chain of work of the whole job.
-func (ph *phase) longest() clock.Millis {
-	var most clock.Millis
-	for _, other := range ph.job.runs[ph.name.Run] {
-		most = max(most, other.chain)
+// setTimes computes by when the steps of an occurrence have to start. An occurrence that takes
+// three times its objective earns nothing.
+func (j *job) setTimes(run []*phase) {
+	var longest clock.Millis
+	for _, ph := range run {
+		longest = max(longest, ph.chain)
 	}
-	return most
-}
-
-// latest returns when the step has to start so that its occurrence ends on time.
-func (ph *phase) latest() clock.Millis {
-	if ph.due != 0 {
-		q := ph.job.Queue
-		return ph.due + q.Target + clock.Millis(q.Stretch*float64(ph.longest())) - ph.chain
+	objective := j.Queue.Target + clock.Millis(j.Queue.Stretch*float64(longest))
+	for _, ph := range run {
+		from := j.accepted
+		if ph.due != 0 {
+			from = ph.due
+		}
+		ph.latest = from + objective - ph.chain
+		ph.late = from + 3*objective - ph.chain
 	}
-	return ph.job.objective() - ph.chain
 }
 
 // addJob takes an accepted job in, with the attempts that an earlier leader placed.
@@ -138,7 +143,7 @@
 	list := make([]*phase, len(steps))
 	for i, s := range steps {
 		list[i] = &phase{
-			job: j, shape: s, tasks: map[int]*task{},
+			job: j, shape: s, tasks: map[int]*task{}, stale: true,
 			name: flow.Task{Job: j.Work.ID, Run: run, Step: i},
 		}
 		if due := j.Work.Due(run); due != 0 {
@@ -151,6 +156,7 @@
 			list[before].chain = max(list[before].chain, list[i].chain)
 		}
 	}
+	j.setTimes(list)
 	return list
 }
 
@@ -191,6 +197,7 @@
 		return
 	}
 	ph.queued = true
+	p.urgent = true
 	if ph.since == 0 {
 		ph.since = p.now
 	}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -18,19 +18,40 @@
 }
 
 func (p *Planner) rankOf(ph *phase) rank {
-	latest := ph.latest()
-	if p.now <= latest {
-		return rank{0, latest}
+	switch {
+	case p.now <= ph.latest:
+		return rank{0, ph.latest}
+	case p.now <= ph.late:
+		return rank{1, ph.late}
 	}
-	late := latest + 2*(ph.job.objective()-ph.job.accepted)
-	if p.now <= late {
-		return rank{1, late}
+	return rank{2, ph.late}
+}
+
+// pass is one look at all waiting steps.
+type pass struct {
+	// open holds the workers that may get tasks, by pool.
+	open map[string][]*worker
+	// most is the free room of the best worker in each dimension when the pass began.
+	most map[string]model.Size
+	// blocked counts the steps that wait although they come earlier.
+	blocked    int
+	collecting int
+}
+
+func (p *Planner) newPass() *pass {
+	ps := &pass{open: map[string][]*worker{}, most: map[string]model.Size{}}
+	for _, w := range p.sortedWorkers() {
+		if w.isOpen(p.now) && !w.isSuspended(p.now) {
+			ps.open[w.Pool] = append(ps.open[w.Pool], w)
+			ps.most[w.Pool] = ps.most[w.Pool].Max(w.free())
+		}
 	}
-	return rank{2, late}
+	return ps
 }
 
 // place starts what can be started, in the order of rank.
 func (p *Planner) place() {
+	p.placedAt = p.now
 	p.ready = slices.DeleteFunc(p.ready, func(ph *phase) bool {
 		if ph.job.Over() || ph.done || len(ph.waiting()) == 0 {
 			ph.queued = false
@@ -39,6 +60,9 @@
 		}
 		return false
 	})
+	if len(p.ready) == 0 {
+		return
+	}
 	type ranked struct {
 		rank
 		ph *phase
@@ -50,62 +74,82 @@
 	slices.SortStableFunc(list, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.latest, b.latest))
 	})
-	collecting := 0
+	ps := p.newPass()
 	for _, r := range list {
-		if p.placePhase(r.ph, collecting < collectors) {
-			collecting++
+		p.placePhase(ps, r.ph)
+		if len(r.ph.waiting()) > 0 {
+			ps.blocked++
 		}
 	}
 }
 
-// placePhase places the waiting tasks of a phase, or asks for tickets. It reports whether it keeps
-// room free for a gang.
-func (p *Planner) placePhase(ph *phase, mayCollect bool) bool {
-	waiting := ph.waiting()
-	if len(waiting) == 0 {
-		return false
+// placePhase places the waiting tasks of a phase, or asks for tickets.
+func (p *Planner) placePhase(ps *pass, ph *phase) {
+	if ph.advice.ask != 0 && ph.advice.asked {
+		return // room is kept until the answer
+	}
+	p.dropHolds(ph)
+	first := ph.job.Queue.Policy != nil && !ph.advice.asked
+	if first {
+		if ps.blocked < askDepth {
+			p.askFirst(ps, ph)
+		}
+		return
 	}
-	if ph.shape.Gang {
-		return p.placeGang(ph, len(waiting), mayCollect)
+	fits := ph.shape.Charge().Fits(ps.most[ph.job.Queue.Pool])
+	switch {
+	case ph.shape.Gang:
+		p.placeGang(ps, ph, fits)
+	case fits:
+		p.placeSingles(ps, ph)
 	}
-	asked := false
-	for _, i := range waiting {
-		w := p.best(ph, allowed)
+}
+
+// placeSingles places tasks that don't need each other. Where only a ticket is missing, room is
+// kept while the service is asked, so that steps further back don't ask for the same room.
+func (p *Planner) placeSingles(ps *pass, ph *phase) {
+	var short []*worker
+	for _, i := range slices.Clone(ph.waiting()) {
+		if w := p.best(ps, ph, allowed); w != nil {
+			p.assign(ph, i, ph.record().Slots[i].Attempt+1, w)
+			continue
+		}
+		w := p.best(ps, ph, unasked)
 		if w == nil {
-			asked = true
 			break
 		}
-		p.assign(ph, i, p.nextAttempt(ph, i), w)
+		p.keep(ph, []*worker{w})
+		short = append(short, w)
 	}
-	if asked && ph.job.Queue.Policy != nil {
-		p.askAbout(ph, p.askable(ph))
+	if len(short) > 0 && !p.askAbout(ph, distinct(short)) {
+		p.dropHolds(ph)
 	}
-	return false
 }
 
-func (p *Planner) nextAttempt(ph *phase, index int) int { return ph.record().Slots[index].Attempt + 1 }
-
-// eligible reports whether a worker could run a task of the phase if it had room.
-func (p *Planner) eligible(ph *phase, w *worker) bool {
-	s := ph.shape
-	return w.Pool == ph.job.Queue.Pool && w.isOpen(p.now) && !w.isSuspended(p.now) &&
-		w.HasLabel(s.Label) && s.Charge().Fits(w.Capacity)
+// eligible reports whether an open worker could run a task of the phase if it had room.
+func (ph *phase) eligible(w *worker) bool {
+	return w.HasLabel(ph.shape.Label) && ph.shape.Charge().Fits(w.Capacity)
 }
 
 // slots returns how many more tasks of the phase fit on a worker.
-func (p *Planner) slots(ph *phase, w *worker) int {
+func (ph *phase) slots(w *worker) int {
 	n := fit(w.free(), ph.shape.Charge())
-	if ph.shape.Spread > 0 {
+	if n > 0 && ph.shape.Spread > 0 {
 		n = min(n, ph.shape.Spread-ph.on(w))
 	}
 	return max(n, 0)
 }
 
-// on counts the unsettled attempts of the phase on a worker.
+// on counts the unsettled attempts and the kept room of the phase on a worker.
 func (ph *phase) on(w *worker) int {
 	n := 0
-	for _, t := range w.tasks {
-		if ph.isStep(t.name) {
+	for _, t := range ph.tasks {
+		if t.worker == w && t.charged {
+			n++
+		}
+	}
+	for _, h := range ph.holds {
+		if h.w == w {
 			n++
 		}
 	}
@@ -133,11 +177,11 @@
 // best returns the worker for one task: near its data, not one where the job failed, and then the
 // one that the task fills most, so that whole workers stay free for large tasks. Filling tasks go
 // where most processor is left unused.
-func (p *Planner) best(ph *phase, least permitted) *worker {
+func (p *Planner) best(ps *pass, ph *phase, least permitted) *worker {
 	var best *worker
 	var bestCost float64
-	for _, w := range p.sortedWorkers() {
-		if !p.eligible(ph, w) || ph.permit(p.now, w) < least || p.slots(ph, w) == 0 {
+	for _, w := range ps.open[ph.job.Queue.Pool] {
+		if ph.slots(w) == 0 || !ph.eligible(w) || ph.permit(p.now, w) < least {
 			continue
 		}
 		cost := p.cost(ph, w)
@@ -164,59 +208,46 @@
 	return cost + left.Share(w.Capacity)
 }
 
-// askable returns the workers to ask about for single tasks: those that have room now and no valid
-// ticket, or all on the first call, because which workers may run the step doesn't change.
-func (p *Planner) askable(ph *phase) []*worker {
+// askFirst asks about all workers, those with most room first: which of them may run the step
+// doesn't change, and the answer is known before its turn comes.
+func (p *Planner) askFirst(ps *pass, ph *phase) {
 	var list []*worker
-	for _, w := range p.sortedWorkers() {
-		if !p.eligible(ph, w) {
-			continue
-		}
-		if may := ph.permit(p.now, w); may == unasked || may == expired && p.slots(ph, w) > 0 {
+	for _, w := range ps.open[ph.job.Queue.Pool] {
+		if ph.eligible(w) {
 			list = append(list, w)
 		}
 	}
-	return p.byRoom(ph, list)
-}
-
-// byRoom puts the workers with room for most tasks first.
-func (p *Planner) byRoom(ph *phase, list []*worker) []*worker {
-	slices.SortStableFunc(list, func(a, b *worker) int {
-		return cmp.Compare(p.slots(ph, b), p.slots(ph, a))
-	})
-	return list
+	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(ph.slots(b), ph.slots(a)) })
+	p.askAbout(ph, list)
 }
 
 // placeGang starts all tasks of a gang at once, or none. A gang whose tickets have run out keeps
 // its room while it asks again; one that has waited collects room as it becomes free.
-func (p *Planner) placeGang(ph *phase, count int, mayCollect bool) bool {
-	if ph.advice.ask != 0 && len(ph.holds) > 0 {
-		return false // room is kept until the answer
-	}
-	p.dropHolds(ph)
-	if list := p.chooseGang(ph, count, allowed); list != nil {
-		p.startGang(ph, list)
-		return false
-	}
-	if ph.job.Queue.Policy != nil {
-		if list := p.chooseGang(ph, count, expired); list != nil {
-			p.keep(ph, list)
-			p.askAbout(ph, distinct(list))
-			return false
+func (p *Planner) placeGang(ps *pass, ph *phase, fits bool) {
+	count := len(ph.waiting())
+	if count == 0 {
+		return
+	}
+	if fits {
+		if list := p.chooseGang(ps, ph, count, allowed); list != nil {
+			p.startGang(ph, list)
+			return
 		}
-		var unknown []*worker
-		for _, w := range p.sortedWorkers() {
-			if p.eligible(ph, w) && ph.permit(p.now, w) == unasked {
-				unknown = append(unknown, w)
+		if list := p.chooseGang(ps, ph, count, unasked); list != nil {
+			p.keep(ph, list)
+			if !p.askAbout(ph, distinct(list)) {
+				p.dropHolds(ph)
 			}
+			return
 		}
-		p.askAbout(ph, p.byRoom(ph, unknown))
 	}
-	if !mayCollect || p.now-ph.since < collectAfter || !p.isFeasible(ph, count) {
-		return false
+	if ps.collecting >= collectors || p.now-ph.since < collectAfter || !p.isFeasible(ps, ph, count) {
+		return
+	}
+	ps.collecting++
+	if fits {
+		p.keep(ph, p.gather(ps, ph, count, expired))
 	}
-	p.keep(ph, p.gather(ph, count, expired))
-	return true
 }
 
 // dropHolds is releaseHolds inside a placement, which looks at all phases anyway.
@@ -227,8 +258,8 @@
 }
 
 // chooseGang returns a worker for each task of a gang, or nil if they don't all fit.
-func (p *Planner) chooseGang(ph *phase, count int, least permitted) []*worker {
-	list := p.gather(ph, count, least)
+func (p *Planner) chooseGang(ps *pass, ph *phase, count int, least permitted) []*worker {
+	list := p.gather(ps, ph, count, least)
 	if len(list) < count {
 		return nil
 	}
@@ -237,17 +268,14 @@
 
 // gather returns workers with room for up to count tasks, those with most room first: the fewer
 // workers a gang uses, the fewer failures end it.
-func (p *Planner) gather(ph *phase, count int, least permitted) []*worker {
+func (p *Planner) gather(ps *pass, ph *phase, count int, least permitted) []*worker {
 	type room struct {
 		w *worker
 		n int
 	}
 	var rooms []room
-	for _, w := range p.sortedWorkers() {
-		if !p.eligible(ph, w) || ph.permit(p.now, w) < least {
-			continue
-		}
-		if n := p.slots(ph, w); n > 0 {
+	for _, w := range ps.open[ph.job.Queue.Pool] {
+		if n := ph.slots(w); n > 0 && ph.eligible(w) && ph.permit(p.now, w) >= least {
 			rooms = append(rooms, room{w, n})
 		}
 	}
@@ -271,10 +299,10 @@
 }
 
 // isFeasible reports whether the workers that may run a gang could hold it if they were empty.
-func (p *Planner) isFeasible(ph *phase, count int) bool {
+func (p *Planner) isFeasible(ps *pass, ph *phase, count int) bool {
 	total := 0
-	for _, w := range p.sortedWorkers() {
-		if p.eligible(ph, w) && ph.permit(p.now, w) >= expired {
+	for _, w := range ps.open[ph.job.Queue.Pool] {
+		if ph.eligible(w) && ph.permit(p.now, w) >= expired {
 			n := fit(w.Capacity, ph.shape.Charge())
 			if ph.shape.Spread > 0 {
 				n = min(n, ph.shape.Spread)
@@ -320,6 +348,7 @@
 	t := &task{name: name, number: number, phase: ph, worker: w, stage: assigning, sentAt: p.now}
 	t.ticket = ph.advice.tickets[w.life()].text
 	ph.tasks[index] = t
+	ph.stale = true
 	t.attach(w)
 	p.placements = append(p.placements, ledger.Placement{
 		Task: name, Attempt: number, Worker: w.ID, Born: w.Born,
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -34,7 +34,9 @@
 	// settling holds the ends of the settlements in progress, in the order of the log.
 	settling []seenBatch
 	// moved says that room or tickets have changed, so that waiting phases are looked at again.
-	moved bool
+	// urgent says that a new phase or new tickets came, which is worth a look at once.
+	moved, urgent bool
+	placedAt      clock.Millis
 }
 
 // New returns a planner that continues from the replicated state.
@@ -92,8 +94,8 @@
 
 // finish places what can be placed and collects the decisions of a step.
 func (p *Planner) finish() []Decision {
-	if p.moved {
-		p.moved = false
+	if p.moved && (p.now-p.placedAt >= placeGap || (p.urgent && len(p.ready) < askDepth)) {
+		p.moved, p.urgent = false, false
 		p.place()
 	}
 	if len(p.placements) > 0 {
@@ -161,16 +163,20 @@
 	return p.order
 }
 
-// sorted returns the tasks of a worker in a fixed order.
-func (w *worker) sorted() []*task {
-	list := make([]*task, 0, len(w.tasks))
+// pick returns the chosen tasks of a worker in a fixed order.
+func (w *worker) pick(chosen func(*task) bool) []*task {
+	var list []*task
 	for _, t := range w.tasks {
-		list = append(list, t)
+		if chosen(t) {
+			list = append(list, t)
+		}
 	}
 	slices.SortFunc(list, func(a, b *task) int { return compareTask(a.name, b.name) })
 	return list
 }
 
+func anyTask(*task) bool { return true }
+
 func compareTask(a, b flow.Task) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Run, b.Run), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -37,11 +37,11 @@
 		p.seenRunning(w, key, r)
 	}
 	if len(e.Finished) < fullList {
-		for _, t := range w.sorted() {
-			if !listed[t.key()] && t.stage != assigning && e.Clock > t.sureAt {
-				p.endTask(t, ledger.EndLost, "", "not listed by its worker")
-				p.breakGang(t, "a member never started")
-			}
+		for _, t := range w.pick(func(t *task) bool {
+			return !listed[t.key()] && t.stage != assigning && e.Clock > t.sureAt
+		}) {
+			p.endTask(t, ledger.EndLost, "", "not listed by its worker")
+			p.breakGang(t, "a member never started")
 		}
 	}
 	p.seen(w, e.Finished)
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -233,9 +233,10 @@
 		ph := j.phase(e.Task)
 		t := ph.tasks[e.Task.Index]
 		if t != nil && t.number == e.Attempt {
-			delete(ph.tasks, e.Task.Index)
+			ph.forgetTask(t)
 			p.enqueue(ph)
 		}
+		ph.stale = true
 		if j.Over() {
 			p.closeJob(j, "job is over")
 		} else if ph.record().Left == 0 {
@@ -248,10 +249,10 @@
 // tickTasks repeats orders to stop.
 func (p *Planner) tickTasks() {
 	for _, w := range p.sortedWorkers() {
-		for _, t := range w.sorted() {
-			if t.stop != "" && (t.stage == running || t.stage == starting) && p.now-t.stopAt >= stopEvery {
-				p.sendStop(t)
-			}
+		for _, t := range w.pick(func(t *task) bool {
+			return t.stop != "" && (t.stage == running || t.stage == starting) && p.now-t.stopAt >= stopEvery
+		}) {
+			p.sendStop(t)
 		}
 	}
 }
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -92,7 +92,7 @@
 		return
 	}
 	w.lost = true
-	for _, t := range w.sorted() {
+	for _, t := range w.pick(anyTask) {
 		p.endTask(t, ledger.EndLost, "", cause)
 	}
 	p.note(Note{Event: "worker lost", Worker: w.ID, Cause: cause})
@@ -144,7 +144,7 @@
 			continue
 		}
 		if len(w.tasks) > 0 && w.hasLapsed(now) {
-			for _, t := range w.sorted() {
+			for _, t := range w.pick(anyTask) {
 				p.endTask(t, ledger.EndLost, "", "lease ended without contact")
 			}
 		}
