--- /dev/null
+++ b/core/plan/plan_test.go
@@ -0,0 +1,220 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/flow"
+	"vanillabridge/core/ledger"
+	"vanillabridge/core/model"
+)
+
+var (
+	small  = model.Size{CPU: 1000, Memory: 100}
+	worker = model.Size{CPU: 4000, Memory: 1000}
+)
+
+func queue(prefix string) flow.Queue { return flow.Queue{Name: prefix, Prefix: prefix} }
+
+// Guards against a plan that overfills workers, runs a task twice, starts a step too early,
+// acknowledges an end before it is committed or loses a task, while orders get no answer and are
+// carried out late, workers crash and are cut off, and leaders change.
+func TestPromisesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(rt, "seed"))
+		w.config(queue("/a/"), flow.Queue{Name: "b", Prefix: "/b/", Policy: &flow.Policy{Decide: 20, Each: 100, Valid: 2500}})
+		w.permits = func(step string, id model.WorkerID) bool { return (int(step[1])+int(id[1]))%3 != 0 }
+		w.work = func(flow.Task, *fake) (clock.Millis, bool) {
+			return clock.Millis(200 + w.rng.IntN(3000)), w.rng.IntN(40) == 0
+		}
+		w.lead()
+		for i := range 6 {
+			w.addWorker(fmt.Sprintf("w%d", i), worker)
+		}
+		w.run(500)
+		w.lose = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(rt, "lose")
+		jobs := rapid.IntRange(1, 30).Draw(rt, "jobs")
+		for i := range jobs {
+			q := rapid.SampledFrom([]string{"/a/", "/b/"}).Draw(rt, "queue")
+			step := flow.Step{
+				Count: rapid.IntRange(1, 6).Draw(rt, "count"), Need: small, Estimate: 1000,
+				Gang: rapid.Bool().Draw(rt, "gang"), Spread: rapid.SampledFrom([]int{0, 2, 3}).Draw(rt, "spread"),
+			}
+			next := flow.Step{Count: 2, Need: small, Estimate: 500, After: []int{0}}
+			w.submit(q, fmt.Sprintf("%016x", i+1), step, next)
+			w.run(clock.Millis(rapid.IntRange(0, 400).Draw(rt, "gap")))
+			fault(rt, w)
+		}
+		w.lose = 0
+		for _, f := range w.workers {
+			f.cut = false
+		}
+		w.run(90 * clock.Second)
+		for id, j := range w.state.Jobs() {
+			if !j.Over() {
+				w.fail("job %s is still %s", id, j.Phase())
+			}
+		}
+	})
+}
+
+func fault(rt *rapid.T, w *world) {
+	list := w.sorted()
+	f := list[rapid.IntRange(0, len(list)-1).Draw(rt, "worker")]
+	switch rapid.IntRange(0, 12).Draw(rt, "fault") {
+	case 0:
+		if f.up {
+			w.crash(f, 1000)
+		}
+	case 1:
+		if f.up {
+			f.cut = true
+			w.after(clock.Millis(rapid.IntRange(500, 9000).Draw(rt, "cut")), func() { f.cut = false })
+		}
+	case 2:
+		w.lead()
+	}
+}
+
+// Guards against a gang whose members wait for each other in vain, and against one that is started
+// piecemeal, while single tasks compete for room.
+func TestGangsStartWhole(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(queue("/a/"), queue("/g/"))
+	w.lead()
+	for i := range 4 {
+		w.addWorker(fmt.Sprintf("w%d", i), worker)
+	}
+	w.run(500)
+	for i := range 40 {
+		w.submit("/a/", fmt.Sprintf("%016x", 1000+i), flow.Step{Count: 2, Need: small, Estimate: 500})
+		if i%4 == 0 {
+			w.submit("/g/", fmt.Sprintf("%016x", i), flow.Step{Count: 12, Need: small, Estimate: 500, Gang: true})
+		}
+		w.run(200)
+	}
+	w.run(20 * clock.Second)
+	w.wantDone()
+	if w.alone > 0 {
+		t.Fatalf("%d gang members ended alone", w.alone)
+	}
+}
+
+// Guards against a worker that fails all it starts and, looking idle, draws all work: each job may
+// lose at most a few attempts to it.
+func TestFailingWorkerIsSuspended(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(queue("/a/"))
+	w.lead()
+	for i := range 4 {
+		w.addWorker(fmt.Sprintf("w%d", i), worker)
+	}
+	w.work = func(_ flow.Task, f *fake) (clock.Millis, bool) { return 100, f.ID == "w0" }
+	w.run(500)
+	for i := range 100 {
+		w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 2, Need: small, Estimate: 100})
+		w.run(50)
+	}
+	w.run(20 * clock.Second)
+	w.wantDone()
+	extra := 0
+	for _, n := range w.starts {
+		extra += n - 1
+	}
+	if extra > 20 {
+		t.Fatalf("200 tasks had %d failed runs on the bad worker, want at most 20", extra)
+	}
+}
+
+// Guards against a cancelled job whose tasks run on, or are started again.
+func TestCancelStopsTasks(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(queue("/a/"))
+	w.work = func(flow.Task, *fake) (clock.Millis, bool) { return 60 * clock.Second, false }
+	w.lead()
+	w.addWorker("w0", worker)
+	w.run(500)
+	w.submit("/a/", "j", flow.Step{Count: 9, Need: small, Estimate: 60_000})
+	w.run(clock.Second)
+	if got := len(w.workers["w0"].runs); got != 4 {
+		t.Fatalf("%d tasks run, want 4", got)
+	}
+	w.apply(ledger.Cancel{Host: "h", Path: "/a/j", Now: w.now})
+	w.run(2 * clock.Second)
+	if got := len(w.workers["w0"].runs); got != 0 {
+		t.Fatalf("%d tasks run after the cancel, want none", got)
+	}
+}
+
+// Guards against a placement pass whose cost grows with the backlog: after a loss of all leaders
+// hundreds of steps waited, each event looked at all of them, and commits timed out.
+func TestBacklogDoesNotGrowCost(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(flow.Queue{Name: "a", Prefix: "/a/", Policy: &flow.Policy{Decide: 20, Each: 100, Valid: 2500}})
+	w.lead()
+	for i := range 8 {
+		w.addWorker(fmt.Sprintf("w%d", i), worker)
+	}
+	w.run(500)
+	for i := range 600 {
+		w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 3, Need: small, Estimate: 500})
+	}
+	before := w.asks
+	w.run(10 * clock.Second)
+	// 8 workers run 32 tasks of 0.5 s, so about 700 tasks of 230 steps are done in 10 s. A step needs
+	// one call, and another one when its tickets ran out before its turn.
+	if got := w.asks - before; got > 900 {
+		t.Fatalf("%d ticket calls in 10 s, want at most 900", got)
+	}
+}
+
+// Guards against early steps that are starved: steps that can still end on time come first, those
+// that are late anyway after them, but not never.
+func TestLateStepsWaitForOnTimeOnes(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(
+		flow.Queue{Name: "a", Prefix: "/a/", Stretch: 1.5, Target: 600},
+		flow.Queue{Name: "b", Prefix: "/b/", Stretch: 4, Target: 3000},
+	)
+	w.work = func(flow.Task, *fake) (clock.Millis, bool) { return clock.Second, false }
+	w.lead()
+	w.addWorker("w0", worker)
+	w.run(500)
+	for i := range 20 {
+		w.submit("/b/", fmt.Sprintf("%016x", 100+i), flow.Step{Count: 1, Need: small, Estimate: 1000})
+	}
+	w.run(300)
+	w.submit("/a/", "urgent", flow.Step{Count: 1, Need: small, Estimate: 1000})
+	submitted := w.now
+	w.run(30 * clock.Second)
+	w.wantDone()
+	if took := w.finish["urgent"] - submitted; took > 2100 {
+		t.Fatalf("urgent job took %s, want its objective of 2.1s at most", took)
+	}
+}
+
+// Guards against replicas or leaders that decide differently on equal inputs.
+func TestPlanIsDeterministic(t *testing.T) {
+	trace := func() []string {
+		w := newWorld(t, 3)
+		w.config(queue("/a/"))
+		w.lead()
+		for i := range 3 {
+			w.addWorker(fmt.Sprintf("w%d", i), worker)
+		}
+		w.run(500)
+		for i := range 20 {
+			w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 3, Need: small, Estimate: 500})
+			w.run(100)
+		}
+		w.run(5000)
+		return w.notes
+	}
+	if diff := cmp.Diff(trace(), trace()); diff != "" {
+		t.Fatalf("two runs differ:\n%s", diff)
+	}
+}
