plan: look only at workers with news; share log entries; gangs that collect room can't block each other

Cause of the load on the leader: each pass looked at all workers for each waiting step, and each report and assignment was an entry of its own, sent to every core. A step that found no room is now tried again only on workers whose room grew since, and ends and assignments share an entry.

--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -11,10 +11,11 @@
 // advice is what the ticket service has said about a step. Which workers may run it doesn't
 // change; only tickets run out.
 type advice struct {
-	tickets map[Life]ticket
-	denied  map[Life]bool
-	ask     uint64 // number of the call in progress, or 0
-	asked   bool   // an answer has come
+	tickets map[*worker]ticket
+	denied  map[*worker]bool
+	list    []*worker // with a ticket, valid or not
+	ask     uint64    // number of the call in progress, or 0
+	asked   bool      // an answer has come
 	next    clock.Millis
 }
 
@@ -33,7 +34,7 @@
 type asking struct {
 	ask   Ask
 	phase *phase
-	lives []Life
+	about []*worker
 	due   clock.Millis // when it counts as lost
 }
 
@@ -84,7 +85,7 @@
 	a.ask = Ask{Task: ph.name, Caller: c.name, Number: p.askNumber}
 	for _, w := range list {
 		a.ask.Workers = append(a.ask.Workers, w.ID)
-		a.lives = append(a.lives, w.life())
+		a.about = append(a.about, w)
 	}
 	p.asks[p.askNumber] = a
 	ph.advice.ask = p.askNumber
@@ -110,16 +111,23 @@
 	}
 	ad.asked = true
 	if ad.tickets == nil {
-		ad.tickets, ad.denied = map[Life]ticket{}, map[Life]bool{}
-	}
-	for _, l := range a.lives {
-		if text, ok := e.Tickets[l.ID]; ok {
-			ad.tickets[l] = ticket{text: text, until: p.now + e.Valid - ticketMargin}
-		} else {
-			ad.denied[l] = true
-			delete(ad.tickets, l)
+		ad.tickets, ad.denied = map[*worker]ticket{}, map[*worker]bool{}
+	}
+	for _, w := range a.about {
+		text, ok := e.Tickets[w.ID]
+		if !ok {
+			ad.denied[w] = true
+			delete(ad.tickets, w)
+			continue
+		}
+		if _, known := ad.tickets[w]; !known {
+			ad.list = append(ad.list, w)
 		}
+		ad.tickets[w] = ticket{text: text, until: p.now + e.Valid - ticketMargin}
 	}
+	// Tickets change what the phase may use, so all workers count as not yet tried.
+	a.phase.tried = 0
+	p.releaseHolds(a.phase)
 	p.note(Note{
 		Event: "tickets received", Job: a.phase.name.Job, Task: a.phase.name.Phase(),
 		Cause: string(a.ask.Caller), Attempt: len(e.Tickets),
@@ -138,9 +146,9 @@
 }
 
 func (ph *phase) dropTicket(id model.WorkerID) {
-	for l := range ph.advice.tickets {
-		if l.ID == id {
-			ph.advice.tickets[l] = ticket{}
+	for w := range ph.advice.tickets {
+		if w.ID == id {
+			ph.advice.tickets[w] = ticket{}
 		}
 	}
 }
@@ -159,16 +167,14 @@
 	if ph.job.Queue.Policy == nil {
 		return allowed
 	}
-	l := w.life()
-	if ph.advice.denied[l] {
-		return forbidden
-	}
-	t, ok := ph.advice.tickets[l]
+	t, ok := ph.advice.tickets[w]
 	switch {
-	case !ok:
-		return unasked
-	case now < t.until:
+	case ok && now < t.until:
 		return allowed
+	case ok:
+		return expired
+	case ph.advice.denied[w]:
+		return forbidden
 	}
-	return expired
+	return unasked
 }
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -39,11 +39,16 @@
 	stopEvery = 500 * clock.Millisecond
 	// dismissAfter is how long a worker may be unreachable before it is forgotten.
 	dismissAfter = 20 * clock.Second
+	// logGap bounds how often ends and assignments are committed: under load many share an entry of
+	// the log, which costs a message to each core.
+	logGap = 15 * clock.Millisecond
 	// placeGap bounds how often waiting steps are looked at: under load many events come between.
 	placeGap = 10 * clock.Millisecond
 	// askDepth is the number of waiting steps in front of a step beyond which its tickets would run
 	// out before its turn.
 	askDepth = 32
+	// askStride spreads the workers that steps ask about first.
+	askStride = 37
 	// mostAsked is the number of workers that one ticket call may name.
 	mostAsked = 100
 	// ticketMargin is the part of a ticket's life kept for the commit and the order's transit.
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -30,12 +30,15 @@
 	done   bool
 	advice advice
 	holds  []hold
+	// collects says that the room that was kept in the last pass was for a gang that gathers it.
+	collects bool
 	// latest is when the step has to start so that its occurrence ends on time, and late so that it
 	// still earns something.
 	latest, late clock.Millis
 	// idle holds the indexes of waiting tasks unless stale.
 	idle  []int
 	stale bool
+	tried uint64 // the last pass that tried to place it
 }
 
 func (j *job) phase(t flow.Task) *phase { return j.runs[t.Run][t.Step] }
@@ -271,9 +274,7 @@
 func (p *Planner) releaseHolds(ph *phase) {
 	for _, h := range ph.holds {
 		h.w.held = h.w.held.Minus(h.amount)
-	}
-	if len(ph.holds) > 0 {
-		p.moved = true
+		p.grow(h.w)
 	}
 	ph.holds = nil
 }
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -29,7 +29,7 @@
 
 // pass is one look at all waiting steps.
 type pass struct {
-	// open holds the workers that may get tasks, by pool.
+	// open holds the workers that may get tasks, by pool, those whose room grew last first.
 	open map[string][]*worker
 	// most is the free room of the best worker in each dimension when the pass began.
 	most map[string]model.Size
@@ -39,16 +39,44 @@
 }
 
 func (p *Planner) newPass() *pass {
+	p.passes++
 	ps := &pass{open: map[string][]*worker{}, most: map[string]model.Size{}}
 	for _, w := range p.sortedWorkers() {
-		if w.isOpen(p.now) && !w.isSuspended(p.now) {
+		open := w.isOpen(p.now) && !w.isSuspended(p.now)
+		if open && !w.wasOpen {
+			w.grew = p.passes
+		}
+		w.wasOpen = open
+		if open {
 			ps.open[w.Pool] = append(ps.open[w.Pool], w)
 			ps.most[w.Pool] = ps.most[w.Pool].Max(w.free())
 		}
 	}
+	for _, list := range ps.open {
+		slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(b.grew, a.grew) })
+	}
 	return ps
 }
 
+// grow notes that a worker has more room from the next pass on.
+func (p *Planner) grow(w *worker) {
+	w.grew = p.passes + 1
+	p.moved = true
+}
+
+// fresh returns the open workers that may have more room than when the phase was last tried. All
+// others had no room for it then, so under load a pass looks at few workers for each step.
+func (ps *pass) fresh(ph *phase) []*worker {
+	list := ps.open[ph.job.Queue.Pool]
+	n, _ := slices.BinarySearchFunc(list, ph.tried, func(w *worker, tried uint64) int {
+		if w.grew > tried {
+			return -1
+		}
+		return 1
+	})
+	return list[:n]
+}
+
 // place starts what can be started, in the order of rank.
 func (p *Planner) place() {
 	p.placedAt = p.now
@@ -74,35 +102,45 @@
 	slices.SortStableFunc(list, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.latest, b.latest))
 	})
+	// Room that is collected goes back first, so that the gang that comes first collects all of it:
+	// two gangs that kept half each would wait for ever.
+	for _, r := range list {
+		r.ph.collects = len(r.ph.holds) > 0 && r.ph.advice.ask == 0
+		if r.ph.collects {
+			p.dropHolds(r.ph)
+		}
+	}
 	ps := p.newPass()
 	for _, r := range list {
-		p.placePhase(ps, r.ph)
+		if !p.placePhase(ps, r.ph) {
+			continue
+		}
+		r.ph.tried = p.passes
 		if len(r.ph.waiting()) > 0 {
 			ps.blocked++
 		}
 	}
 }
 
-// placePhase places the waiting tasks of a phase, or asks for tickets.
-func (p *Planner) placePhase(ps *pass, ph *phase) {
+// placePhase places the waiting tasks of a phase, or asks for tickets. It reports whether it has
+// tried to place.
+func (p *Planner) placePhase(ps *pass, ph *phase) bool {
 	if ph.advice.ask != 0 && ph.advice.asked {
-		return // room is kept until the answer
+		return false // room is kept until the answer
 	}
-	p.dropHolds(ph)
-	first := ph.job.Queue.Policy != nil && !ph.advice.asked
-	if first {
+	if ph.job.Queue.Policy != nil && !ph.advice.asked {
 		if ps.blocked < askDepth {
 			p.askFirst(ps, ph)
 		}
-		return
+		return false
 	}
 	fits := ph.shape.Charge().Fits(ps.most[ph.job.Queue.Pool])
-	switch {
-	case ph.shape.Gang:
+	if ph.shape.Gang {
 		p.placeGang(ps, ph, fits)
-	case fits:
+	} else if fits {
 		p.placeSingles(ps, ph)
 	}
+	return true
 }
 
 // placeSingles places tasks that don't need each other. Where only a ticket is missing, room is
@@ -180,8 +218,8 @@
 func (p *Planner) best(ps *pass, ph *phase, least permitted) *worker {
 	var best *worker
 	var bestCost float64
-	for _, w := range ps.open[ph.job.Queue.Pool] {
-		if ph.slots(w) == 0 || !ph.eligible(w) || ph.permit(p.now, w) < least {
+	for _, w := range ps.fresh(ph) {
+		if ph.permit(p.now, w) < least || ph.slots(w) == 0 || !ph.eligible(w) {
 			continue
 		}
 		cost := p.cost(ph, w)
@@ -208,17 +246,39 @@
 	return cost + left.Share(w.Capacity)
 }
 
-// askFirst asks about all workers, those with most room first: which of them may run the step
-// doesn't change, and the answer is known before its turn comes.
+// askFirst asks about all workers, or, of many, those with most room: which of them may run the
+// step doesn't change, and the answer is known before its turn comes.
 func (p *Planner) askFirst(ps *pass, ph *phase) {
-	var list []*worker
-	for _, w := range ps.open[ph.job.Queue.Pool] {
-		if ph.eligible(w) {
-			list = append(list, w)
+	p.askMore(ps, ph, 0)
+}
+
+// askMore asks about workers that the service was not yet asked about. Each step begins at another
+// place of the list, because equal workers would otherwise be asked about by all steps.
+func (p *Planner) askMore(ps *pass, ph *phase, least int) bool {
+	if ph.advice.ask != 0 {
+		return false
+	}
+	open := ps.open[ph.job.Queue.Pool]
+	type room struct {
+		w *worker
+		n int
+	}
+	var list []room
+	for i := range open {
+		w := open[(i+int(p.askNumber)*askStride)%len(open)]
+		if ph.permit(p.now, w) != unasked || !ph.eligible(w) {
+			continue
+		}
+		if n := ph.slots(w); n >= least {
+			list = append(list, room{w, n})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(ph.slots(b), ph.slots(a)) })
-	p.askAbout(ph, list)
+	slices.SortStableFunc(list, func(a, b room) int { return cmp.Compare(b.n, a.n) })
+	var ask []*worker
+	for _, r := range list {
+		ask = append(ask, r.w)
+	}
+	return p.askAbout(ph, ask)
 }
 
 // placeGang starts all tasks of a gang at once, or none. A gang whose tickets have run out keeps
@@ -228,12 +288,12 @@
 	if count == 0 {
 		return
 	}
-	if fits {
+	if fits && (ph.collects || p.hasNews(ps, ph)) {
 		if list := p.chooseGang(ps, ph, count, allowed); list != nil {
 			p.startGang(ph, list)
 			return
 		}
-		if list := p.chooseGang(ps, ph, count, unasked); list != nil {
+		if list := p.chooseGang(ps, ph, count, expired); list != nil {
 			p.keep(ph, list)
 			if !p.askAbout(ph, distinct(list)) {
 				p.dropHolds(ph)
@@ -241,7 +301,11 @@
 			return
 		}
 	}
-	if ps.collecting >= collectors || p.now-ph.since < collectAfter || !p.isFeasible(ps, ph, count) {
+	if !p.isFeasible(ps, ph, count) {
+		p.askMore(ps, ph, 0)
+		return
+	}
+	if p.now-ph.since < collectAfter || ps.collecting >= collectors {
 		return
 	}
 	ps.collecting++
@@ -250,6 +314,24 @@
 	}
 }
 
+// hasNews reports whether a worker that may run the phase has more room than at the last try.
+func (p *Planner) hasNews(ps *pass, ph *phase) bool {
+	for _, w := range ps.fresh(ph) {
+		if ph.permit(p.now, w) >= expired && ph.slots(w) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the workers that may run a phase, as far as is known.
+func (ps *pass) candidates(ph *phase) []*worker {
+	if ph.job.Queue.Policy == nil {
+		return ps.open[ph.job.Queue.Pool]
+	}
+	return ph.advice.list
+}
+
 // dropHolds is releaseHolds inside a placement, which looks at all phases anyway.
 func (p *Planner) dropHolds(ph *phase) {
 	moved := p.moved
@@ -274,8 +356,8 @@
 		n int
 	}
 	var rooms []room
-	for _, w := range ps.open[ph.job.Queue.Pool] {
-		if n := ph.slots(w); n > 0 && ph.eligible(w) && ph.permit(p.now, w) >= least {
+	for _, w := range ps.candidates(ph) {
+		if n := ph.slots(w); n > 0 && w.wasOpen && ph.eligible(w) && ph.permit(p.now, w) >= least {
 			rooms = append(rooms, room{w, n})
 		}
 	}
@@ -301,8 +383,8 @@
 // isFeasible reports whether the workers that may run a gang could hold it if they were empty.
 func (p *Planner) isFeasible(ps *pass, ph *phase, count int) bool {
 	total := 0
-	for _, w := range ps.open[ph.job.Queue.Pool] {
-		if ph.eligible(w) && ph.permit(p.now, w) >= expired {
+	for _, w := range ps.candidates(ph) {
+		if w.wasOpen && ph.eligible(w) {
 			n := fit(w.Capacity, ph.shape.Charge())
 			if ph.shape.Spread > 0 {
 				n = min(n, ph.shape.Spread)
@@ -346,7 +428,7 @@
 	name := ph.name
 	name.Index = index
 	t := &task{name: name, number: number, phase: ph, worker: w, stage: assigning, sentAt: p.now}
-	t.ticket = ph.advice.tickets[w.life()].text
+	t.ticket = ph.advice.tickets[w].text
 	ph.tasks[index] = t
 	ph.stale = true
 	t.attach(w)
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -25,7 +25,7 @@
 // carried out late, workers crash and are cut off, and leaders change.
 func TestPromisesUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(t, rapid.Uint64().Draw(rt, "seed"))
+		w := newWorld(rt, rapid.Uint64().Draw(rt, "seed"))
 		w.config(queue("/a/"), flow.Queue{Name: "b", Prefix: "/b/", Policy: &flow.Policy{Decide: 20, Each: 100, Valid: 2500}})
 		w.permits = func(step string, id model.WorkerID) bool { return (int(step[1])+int(id[1]))%3 != 0 }
 		w.work = func(flow.Task, *fake) (clock.Millis, bool) {
@@ -104,6 +104,28 @@
 	}
 }
 
+// Guards against two gangs that each keep half of the room that both need, and wait for ever.
+func TestCollectingGangsDontDeadlock(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(flow.Queue{Name: "b", Prefix: "/b/", Policy: &flow.Policy{Decide: 20, Each: 100, Valid: 2500}})
+	w.permits = func(_ string, id model.WorkerID) bool { return id == "w1" }
+	w.lead()
+	for i := range 3 {
+		w.addWorker(fmt.Sprintf("w%d", i), worker)
+	}
+	w.run(500)
+	// Two single tasks end at different times, so that room comes free piece by piece.
+	w.work = func(task flow.Task, _ *fake) (clock.Millis, bool) {
+		return clock.Second * clock.Millis(1+2*task.Index), false
+	}
+	w.submit("/b/", "1", flow.Step{Count: 2, Need: model.Size{CPU: 2000, Memory: 200}, Estimate: 1000})
+	w.run(300)
+	w.submit("/b/", "2", flow.Step{Count: 4, Need: small, Estimate: 500, Gang: true})
+	w.submit("/b/", "3", flow.Step{Count: 3, Need: small, Estimate: 500, Gang: true})
+	w.run(20 * clock.Second)
+	w.wantDone()
+}
+
 // Guards against a worker that fails all it starts and, looking idle, draws all work: each job may
 // lose at most a few attempts to it.
 func TestFailingWorkerIsSuspended(t *testing.T) {
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -37,6 +37,8 @@
 	// urgent says that a new phase or new tickets came, which is worth a look at once.
 	moved, urgent bool
 	placedAt      clock.Millis
+	loggedAt      clock.Millis
+	passes        uint64
 }
 
 // New returns a planner that continues from the replicated state.
@@ -98,19 +100,26 @@
 		p.moved, p.urgent = false, false
 		p.place()
 	}
+	if p.now-p.loggedAt >= logGap {
+		p.flush()
+	}
+	out := p.out
+	p.out = nil
+	return out
+}
+
+// flush proposes the assignments and ends that were collected.
+func (p *Planner) flush() {
 	if len(p.placements) > 0 {
 		p.propose(ledger.Assign{Items: p.placements})
-		p.placements = nil
+		p.placements, p.loggedAt = nil, p.now
 	}
 	settle := len(p.endings) > 0
 	if settle {
 		p.propose(ledger.Settle{Items: p.endings, Now: p.now + p.cfg.Offset})
-		p.endings = nil
+		p.endings, p.loggedAt = nil, p.now
 	}
 	p.queueSeen(settle)
-	out := p.out
-	p.out = nil
-	return out
 }
 
 func (p *Planner) applied(c ledger.Command) {
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"cmp"
+
 	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
@@ -75,8 +77,8 @@
 		return
 	}
 	t.release()
+	p.grow(t.worker)
 	t.stage = ending
-	p.moved = true
 	p.endings = append(p.endings, ledger.Ending{Task: t.name, Attempt: t.number, End: end, Saved: saved})
 	p.note(Note{
 		Event: "task ended", Job: t.name.Job, Task: t.name.String(), Attempt: t.number,
@@ -118,23 +120,25 @@
 // assigned sends the start orders of committed assignments.
 func (p *Planner) assigned(c ledger.Assign) {
 	for _, i := range c.Items {
-		w := p.workers[i.Worker]
-		if w == nil {
+		j := p.jobs[i.Task.Job]
+		if j == nil {
 			continue
 		}
-		t := w.tasks[attempt{i.Task, i.Attempt}]
-		if t == nil || t.stage != assigning {
+		t := j.phase(i.Task).tasks[i.Task.Index]
+		if t == nil || t.number != i.Attempt || t.stage != assigning {
 			continue
 		}
+		w := t.worker
 		if _, slot := t.phase.job.Slot(t.name); slot == nil || !slot.Placed || slot.Attempt != t.number || slot.Worker != w.ID {
 			// The job ended before the assignment was committed, so nothing was recorded.
 			t.release()
+			p.grow(w)
 			t.stage = ending
 			t.phase.forgetTask(t)
 			continue
 		}
 		if t.stop != "" || w.lost {
-			p.endTask(t, ledger.EndLost, "", "not started: "+t.stop)
+			p.endTask(t, ledger.EndLost, "", "not started: "+cmp.Or(t.stop, "worker is gone"))
 			continue
 		}
 		p.sendStart(t)
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -36,8 +36,11 @@
 	since           clock.Millis // of the life, on the leader's clock
 	holdDue         clock.Millis
 	health          health
-	strays          map[attempt]clock.Millis
-	lost            bool
+	// grew is the pass from which on it may have more room; wasOpen is its state in the last pass.
+	grew    uint64
+	wasOpen bool
+	strays  map[attempt]clock.Millis
+	lost    bool
 }
 
 func (w *worker) life() Life { return Life{ID: w.ID, Born: w.Born} }
@@ -91,7 +94,7 @@
 	if w.lost {
 		return
 	}
-	w.lost = true
+	w.lost, w.wasOpen = true, false
 	for _, t := range w.pick(anyTask) {
 		p.endTask(t, ledger.EndLost, "", cause)
 	}
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"testing"
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
@@ -25,11 +24,18 @@
 	gangWait = 3 * clock.Second
 )
 
+// tb is what testing.T and rapid.T share.
+type tb interface {
+	Helper()
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // world drives a planner against simulated workers that obey the rules of real ones: fences,
 // leases on their own clocks, ends that are listed until acknowledged, orders carried out late. It
 // checks the promises from what the workers do.
 type world struct {
-	t       testing.TB
+	t       tb
 	rng     *rand.Rand
 	now     clock.Millis
 	queue   []timed
@@ -80,7 +86,7 @@
 	dead    bool
 }
 
-func newWorld(t testing.TB, seed uint64) *world {
+func newWorld(t tb, seed uint64) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1_000_000, state: ledger.New(),
 		workers: map[model.WorkerID]*fake{}, done: map[flow.Task]bool{}, noted: map[flow.Task]clock.Millis{},
@@ -348,7 +354,7 @@
 
 func (w *world) fail(format string, args ...any) {
 	w.t.Helper()
-	last := w.notes[max(0, len(w.notes)-60):]
+	last := w.notes[max(0, len(w.notes)-400):]
 	w.t.Fatalf("at %d: %s\nlast decisions:\n%s", w.now, fmt.Sprintf(format, args...), strings.Join(last, "\n"))
 }
 
--- a/vbridged/fleet/options.go
+++ b/vbridged/fleet/options.go
@@ -52,7 +52,7 @@
 	// goneAfter is how long after its last announcement an instance is not asked for anything.
 	goneAfter = 3 * clock.Second
 	// tickEvery is how often the plan sees time pass without other events.
-	tickEvery = 50 * clock.Millisecond
+	tickEvery = 20 * clock.Millisecond
 	// forgetEvery is how often ended jobs are dropped.
 	forgetEvery = 10 * clock.Second
 	// orderTimeout bounds a start or stop: two transits between regions and time to work.
