plan: ask about as many workers as a step needs, from several callers; one log line a step

Small gangs could get one allowed worker and waited for it. A step now asks about enough workers for three times its room, by the share of approvals seen so far, with more than one call where needed, and gangs ask about further workers while they wait.

--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -14,8 +14,10 @@
 	tickets map[*worker]ticket
 	denied  map[*worker]bool
 	list    []*worker // with a ticket, valid or not
-	ask     uint64    // number of the call in progress, or 0
+	asks    int       // calls in progress
 	asked   bool      // an answer has come
+	// keeping says that room is kept until the call in progress is answered.
+	keeping bool
 	next    clock.Millis
 }
 
@@ -67,13 +69,22 @@
 	return slices.MinFunc(list, func(a, b *caller) int { return cmp.Compare(a.until, b.until) })
 }
 
-// askAbout calls the ticket service about workers for a step, and reports whether it does.
+// askAbout calls the ticket service about workers for a step, and reports whether it does. More
+// workers than one call may name are asked about by several callers at a time.
 func (p *Planner) askAbout(ph *phase, list []*worker) bool {
-	policy := ph.job.Queue.Policy
-	list = list[:min(len(list), mostAsked)]
-	if len(list) == 0 || ph.advice.ask != 0 || p.now < ph.advice.next {
+	if len(list) == 0 || ph.advice.asks > 0 || p.now < ph.advice.next {
 		return false
 	}
+	for part := range slices.Chunk(list, mostAsked) {
+		if !p.call(ph, part) {
+			return ph.advice.asks > 0
+		}
+	}
+	return true
+}
+
+func (p *Planner) call(ph *phase, list []*worker) bool {
+	policy := ph.job.Queue.Policy
 	length := policy.Decide + clock.Millis(policy.Each*int64(len(list))/1000)
 	c := p.pickCaller(length)
 	if c == nil {
@@ -88,7 +99,7 @@
 		a.about = append(a.about, w)
 	}
 	p.asks[p.askNumber] = a
-	ph.advice.ask = p.askNumber
+	ph.advice.asks++
 	p.out = append(p.out, a.ask)
 	return true
 }
@@ -101,14 +112,13 @@
 	}
 	delete(p.asks, e.Ask.Number)
 	ad := &a.phase.advice
-	ad.ask = 0
-	p.moved = true
+	p.askEnded(a.phase)
 	p.urgent = true
 	if !e.OK {
 		ad.next = p.now + askAgain
-		p.releaseHolds(a.phase)
 		return
 	}
+	p.learnRate(a.phase.job.Queue.Name, len(e.Tickets), len(a.about))
 	ad.asked = true
 	if ad.tickets == nil {
 		ad.tickets, ad.denied = map[*worker]ticket{}, map[*worker]bool{}
@@ -127,11 +137,6 @@
 	}
 	// Tickets change what the phase may use, so all workers count as not yet tried.
 	a.phase.tried = 0
-	p.releaseHolds(a.phase)
-	p.note(Note{
-		Event: "tickets received", Job: a.phase.name.Job, Task: a.phase.name.Phase(),
-		Cause: string(a.ask.Caller), Attempt: len(e.Tickets),
-	})
 }
 
 // tickAsks gives up ticket calls whose answer is long overdue.
@@ -139,12 +144,39 @@
 	for number, a := range p.asks {
 		if p.now >= a.due {
 			delete(p.asks, number)
-			a.phase.advice.ask = 0
-			p.releaseHolds(a.phase)
+			p.askEnded(a.phase)
 		}
 	}
 }
 
+// askEnded gives back the room that was kept for a call.
+func (p *Planner) askEnded(ph *phase) {
+	ph.advice.asks--
+	if ph.advice.keeping {
+		ph.advice.keeping = false
+		p.releaseHolds(ph)
+	}
+	p.moved = true
+}
+
+// learnRate takes in how many of the workers asked about may run a step of a queue.
+func (p *Planner) learnRate(queue string, approved, asked int) {
+	old, ok := p.rates[queue]
+	if !ok {
+		old = firstRate
+	}
+	p.rates[queue] = old + (float64(approved)/float64(asked)-old)*rateWeight
+}
+
+// rate returns the expected share of workers that may run a step of a queue.
+func (p *Planner) rate(queue string) float64 {
+	r, ok := p.rates[queue]
+	if !ok {
+		r = firstRate
+	}
+	return max(r, leastRate)
+}
+
 func (ph *phase) dropTicket(id model.WorkerID) {
 	for w := range ph.advice.tickets {
 		if w.ID == id {
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -47,6 +47,19 @@
 	// askDepth is the number of waiting steps in front of a step beyond which its tickets would run
 	// out before its turn.
 	askDepth = 32
+	// askRoom is how many times the room that a step needs the workers asked about are expected to
+	// give: some of it is taken until the answer comes.
+	askRoom = 3
+	// cheapPart is the part of a ticket call's own time that further workers may add to it.
+	cheapPart = 0.3
+	// spareShare is the part of a worker's capacity that counts as room at least, in tasks that end
+	// before the answer comes.
+	spareShare = 0.15
+	// firstRate is the assumed share of workers that may run a step; rateWeight is the weight of a
+	// new answer, and leastRate bounds the number of workers asked about.
+	firstRate  = 0.5
+	rateWeight = 0.1
+	leastRate  = 0.05
 	// askStride spreads the workers that steps ask about first.
 	askStride = 37
 	// mostAsked is the number of workers that one ticket call may name.
@@ -63,6 +76,8 @@
 	reservedPart = 3
 	// collectAfter is how long a gang waits before room is kept free for it.
 	collectAfter = 500 * clock.Millisecond
-	// collectors bounds the gangs for which room is kept free at one time.
-	collectors = 2
+	// collectors bounds the gangs for which room is kept free at one time, and collectWorkers is the
+	// number of workers for each one more.
+	collectors     = 2
+	collectWorkers = 60
 )
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -36,9 +36,10 @@
 	// still earns something.
 	latest, late clock.Millis
 	// idle holds the indexes of waiting tasks unless stale.
-	idle  []int
-	stale bool
-	tried uint64 // the last pass that tried to place it
+	idle   []int
+	stale  bool
+	chosen []*task // placed in this pass
+	tried  uint64  // the last pass that tried to place it
 }
 
 func (j *job) phase(t flow.Task) *phase { return j.runs[t.Run][t.Step] }
@@ -215,6 +216,7 @@
 	}
 	ph.done = true
 	p.releaseHolds(ph)
+	p.note(Note{Event: "step done", Job: ph.name.Job, Task: ph.name.Phase(), Attempt: ph.record().Attempt, Age: p.now - ph.since})
 	for _, next := range ph.job.runs[ph.name.Run] {
 		p.enqueue(next)
 	}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"vanillabridge/core/clock"
@@ -105,7 +106,7 @@
 	// Room that is collected goes back first, so that the gang that comes first collects all of it:
 	// two gangs that kept half each would wait for ever.
 	for _, r := range list {
-		r.ph.collects = len(r.ph.holds) > 0 && r.ph.advice.ask == 0
+		r.ph.collects = len(r.ph.holds) > 0 && !r.ph.advice.keeping
 		if r.ph.collects {
 			p.dropHolds(r.ph)
 		}
@@ -116,6 +117,7 @@
 			continue
 		}
 		r.ph.tried = p.passes
+		p.notePlaced(r.ph)
 		if len(r.ph.waiting()) > 0 {
 			ps.blocked++
 		}
@@ -125,12 +127,12 @@
 // placePhase places the waiting tasks of a phase, or asks for tickets. It reports whether it has
 // tried to place.
 func (p *Planner) placePhase(ps *pass, ph *phase) bool {
-	if ph.advice.ask != 0 && ph.advice.asked {
-		return false // room is kept until the answer
+	if ph.advice.keeping {
+		return false
 	}
 	if ph.job.Queue.Policy != nil && !ph.advice.asked {
 		if ps.blocked < askDepth {
-			p.askFirst(ps, ph)
+			p.askMore(ps, ph, 0)
 		}
 		return false
 	}
@@ -159,9 +161,7 @@
 		p.keep(ph, []*worker{w})
 		short = append(short, w)
 	}
-	if len(short) > 0 && !p.askAbout(ph, distinct(short)) {
-		p.dropHolds(ph)
-	}
+	p.askKeeping(ph, short)
 }
 
 // eligible reports whether an open worker could run a task of the phase if it had room.
@@ -246,17 +246,27 @@
 	return cost + left.Share(w.Capacity)
 }
 
-// askFirst asks about all workers, or, of many, those with most room: which of them may run the
-// step doesn't change, and the answer is known before its turn comes.
-func (p *Planner) askFirst(ps *pass, ph *phase) {
-	p.askMore(ps, ph, 0)
+// askKeeping asks about workers on which room was kept for the phase.
+func (p *Planner) askKeeping(ph *phase, list []*worker) {
+	if len(list) == 0 {
+		return
+	}
+	if p.askAbout(ph, distinct(list)) {
+		ph.advice.keeping = true
+	} else {
+		p.dropHolds(ph)
+	}
 }
 
-// askMore asks about workers that the service was not yet asked about. Each step begins at another
-// place of the list, because equal workers would otherwise be asked about by all steps.
-func (p *Planner) askMore(ps *pass, ph *phase, least int) bool {
-	if ph.advice.ask != 0 {
-		return false
+// askMore asks about workers that the service was not yet asked about, those with most room first:
+// which of them may run the step doesn't change, and the answer is known before its turn comes. It
+// asks about so many that the step probably finds room among those that may run it, and about so
+// many more as make the call little longer. Each step begins at another place of the list, because
+// all steps would ask about the same of equal workers. Workers with less room than least are left
+// out.
+func (p *Planner) askMore(ps *pass, ph *phase, least int) {
+	if ph.advice.asks > 0 {
+		return
 	}
 	open := ps.open[ph.job.Queue.Pool]
 	type room struct {
@@ -275,10 +285,17 @@
 	}
 	slices.SortStableFunc(list, func(a, b room) int { return cmp.Compare(b.n, a.n) })
 	var ask []*worker
-	for _, r := range list {
+	need := askRoom * float64(len(ph.waiting())) / p.rate(ph.job.Queue.Name)
+	policy := ph.job.Queue.Policy
+	cheap := int(cheapPart * float64(policy.Decide*1000) / float64(max(policy.Each, 1)))
+	for i, r := range list {
+		if need <= 0 && i >= cheap {
+			break
+		}
+		need -= max(float64(r.n), spareShare*float64(fit(r.w.Capacity, ph.shape.Charge())))
 		ask = append(ask, r.w)
 	}
-	return p.askAbout(ph, ask)
+	p.askAbout(ph, ask)
 }
 
 // placeGang starts all tasks of a gang at once, or none. A gang whose tickets have run out keeps
@@ -295,17 +312,22 @@
 		}
 		if list := p.chooseGang(ps, ph, count, expired); list != nil {
 			p.keep(ph, list)
-			if !p.askAbout(ph, distinct(list)) {
-				p.dropHolds(ph)
-			}
+			p.askKeeping(ph, list)
 			return
 		}
 	}
+	if ph.job.Queue.Policy != nil {
+		// Other workers may have the room that those known to be allowed lack.
+		least := 1
+		if !p.isFeasible(ps, ph, count) {
+			least = 0
+		}
+		p.askMore(ps, ph, least)
+	}
 	if !p.isFeasible(ps, ph, count) {
-		p.askMore(ps, ph, 0)
 		return
 	}
-	if p.now-ph.since < collectAfter || ps.collecting >= collectors {
+	if p.now-ph.since < collectAfter || ps.collecting >= collectors+len(p.workers)/collectWorkers {
 		return
 	}
 	ps.collecting++
@@ -435,8 +457,21 @@
 	p.placements = append(p.placements, ledger.Placement{
 		Task: name, Attempt: number, Worker: w.ID, Born: w.Born,
 	})
+	ph.chosen = append(ph.chosen, t)
+}
+
+// notePlaced logs the attempts of a step that a pass has placed, in one line.
+func (p *Planner) notePlaced(ph *phase) {
+	if len(ph.chosen) == 0 {
+		return
+	}
+	var list []byte
+	for _, t := range ph.chosen {
+		list = fmt.Appendf(list, "%d@%s ", t.name.Index, t.worker.ID)
+	}
 	p.note(Note{
-		Event: "task assigned", Job: name.Job, Task: name.String(), Attempt: number, Worker: w.ID,
-		Cause: "free " + w.free().String(), Age: p.now - ph.since,
+		Event: "step placed", Job: ph.name.Job, Task: ph.name.Phase(), Attempt: ph.chosen[0].number,
+		Cause: string(list), Age: p.now - ph.since,
 	})
+	ph.chosen = nil
 }
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -25,6 +25,7 @@
 	callers   []*caller
 	askNumber uint64
 	asks      map[uint64]*asking
+	rates     map[string]float64 // share of workers that may run a step, by queue
 
 	// Collected during a step and emitted at its end.
 	out        []Decision
@@ -48,6 +49,7 @@
 		workers: map[model.WorkerID]*worker{},
 		jobs:    map[model.JobID]*job{},
 		asks:    map[uint64]*asking{},
+		rates:   map[string]float64{},
 	}
 	ids := make([]model.WorkerID, 0, len(state.Workers()))
 	for id := range state.Workers() {
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -80,6 +80,9 @@
 	p.grow(t.worker)
 	t.stage = ending
 	p.endings = append(p.endings, ledger.Ending{Task: t.name, Attempt: t.number, End: end, Saved: saved})
+	if end == ledger.EndDone {
+		return // the line of the step follows
+	}
 	p.note(Note{
 		Event: "task ended", Job: t.name.Job, Task: t.name.String(), Attempt: t.number,
 		Worker: t.worker.ID, Cause: end.String() + ": " + cause, Age: p.now - t.sentAt,
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -168,6 +168,9 @@
 }
 
 func logOrder(kind string, term uint64, task string, attempt int, w model.WorkerID, v plan.Verdict, took time.Duration) {
+	if v == plan.VerdictDone {
+		return // the line of the placement says it; the metrics count it
+	}
 	klog.InfoS("order", "kind", kind, "task", task, "attempt", attempt, "worker", w, "verdict", v.String(),
 		"took", took.Milliseconds(), "term", term)
 }
