--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -63,6 +63,8 @@
 type Assign struct {
 	_     struct{} `cbor:",toarray"`
 	Items []Placement
+	// Term is the leader's; only its own plan sends orders for the items.
+	Term uint64
 }
 
 // Ending is how an attempt ended.
@@ -80,6 +82,9 @@
 	_     struct{} `cbor:",toarray"`
 	Items []Ending
 	Now   clock.Millis // since 1970
+	// Term and Number name the settlement, so that a leader knows its own from those of others.
+	Term   uint64
+	Number uint64
 }
 
 // Forget drops jobs that ended before a time.
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -4,6 +4,8 @@
 
 // Config holds the times that the deployment sets.
 type Config struct {
+	// Term is the term of the leader.
+	Term uint64
 	// Lease is how long tasks run on without contact. It is longer than a change of leader.
 	Lease clock.Millis
 	// MaxLease is the longest lease that workers grant.
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -1,6 +1,9 @@
 package plan
 
 import (
+	"maps"
+	"slices"
+
 	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
@@ -120,6 +123,9 @@
 		j.runs = append(j.runs, p.newRun(j, run))
 	}
 	p.jobs[lj.Work.ID] = j
+	if lj.Work.Times > 0 {
+		p.timed[lj.Work.ID] = j
+	}
 	for run := range j.runs {
 		for _, ph := range j.runs[run] {
 			p.inherit(ph)
@@ -244,8 +250,10 @@
 
 // tickDue starts occurrences whose time has come.
 func (p *Planner) tickDue() {
-	for _, j := range p.jobs {
-		if j.Work.Times == 0 || j.Over() {
+	for _, id := range slices.Sorted(maps.Keys(p.timed)) {
+		j := p.timed[id]
+		if j.Over() {
+			delete(p.timed, id)
 			continue
 		}
 		for _, run := range j.runs {
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -11,6 +11,7 @@
 	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
 	"vanillabridge/core/model"
+	"vanillabridge/core/plan"
 )
 
 var (
@@ -126,6 +127,34 @@
 	w.wantDone()
 }
 
+// Guards against a leader that doesn't know yet that its term is over, takes a settlement of the next
+// leader for its own and lets a worker forget an end that is not committed: the task then runs again.
+func TestForeignSettlementAcknowledgesNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(queue("/a/"))
+	w.lead()
+	f := w.addWorker("w0", worker)
+	w.run(500)
+	w.submit("/a/", "j", flow.Step{Count: 1, Need: small, Estimate: 500})
+	w.run(300)
+	life := plan.Life{ID: f.ID, Born: f.Born}
+	task := flow.Task{Job: "j"}
+	w.planner.Step(w.now, plan.Reported{
+		Worker: life, Sent: w.now, Got: w.now, Clock: w.clockOf(f),
+		Finished: []plan.Finished{{Number: 1, Task: task, Attempt: 1, End: ledger.EndDone}},
+	})
+	w.planner.Step(w.now+20, plan.Tick{})
+	w.planner.Step(w.now+30, plan.Applied{Command: ledger.Settle{Term: w.term + 1, Number: 1}})
+	h, _, ok := w.planner.NextHold(w.now+100, life)
+	if !ok || h.Seen != 0 {
+		t.Fatalf("hold = %+v, %t; want one that acknowledges nothing", h, ok)
+	}
+	w.planner.Step(w.now+100, plan.Applied{Command: ledger.Settle{Term: w.term, Number: 1}})
+	if h, _, _ := w.planner.NextHold(w.now+200, life); h.Seen != 1 {
+		t.Fatalf("hold acknowledges %d, want 1", h.Seen)
+	}
+}
+
 // Guards against a worker that fails all it starts and, looking idle, draws all work: each job may
 // lose at most a few attempts to it.
 func TestFailingWorkerIsSuspended(t *testing.T) {
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -19,6 +19,7 @@
 	workers map[model.WorkerID]*worker
 	order   []*worker // all workers by identifier; nil when it must be made anew
 	jobs    map[model.JobID]*job
+	timed   map[model.JobID]*job // with due times, and not over
 	// ready holds the phases with waiting tasks whose turn has come.
 	ready []*phase
 
@@ -32,8 +33,9 @@
 	placements []ledger.Placement
 	endings    []ledger.Ending
 	touched    []*worker // with ends taken in during the step
-	// settling holds the ends of the settlements in progress, in the order of the log.
-	settling []seenBatch
+	// settling holds the ends of the settlements in progress by their number; number is the last.
+	settling map[uint64]seenBatch
+	number   uint64
 	// moved says that room or tickets have changed, so that waiting phases are looked at again.
 	// urgent says that a new phase or new tickets came, which is worth a look at once.
 	moved, urgent bool
@@ -47,9 +49,9 @@
 	p := &Planner{
 		cfg: cfg, state: state, now: now,
 		workers: map[model.WorkerID]*worker{},
-		jobs:    map[model.JobID]*job{},
-		asks:    map[uint64]*asking{},
-		rates:   map[string]float64{},
+		jobs:    map[model.JobID]*job{}, timed: map[model.JobID]*job{},
+		asks:  map[uint64]*asking{},
+		rates: map[string]float64{}, settling: map[uint64]seenBatch{},
 	}
 	ids := make([]model.WorkerID, 0, len(state.Workers()))
 	for id := range state.Workers() {
@@ -113,12 +115,13 @@
 // flush proposes the assignments and ends that were collected.
 func (p *Planner) flush() {
 	if len(p.placements) > 0 {
-		p.propose(ledger.Assign{Items: p.placements})
+		p.propose(ledger.Assign{Items: p.placements, Term: p.cfg.Term})
 		p.placements, p.loggedAt = nil, p.now
 	}
 	settle := len(p.endings) > 0
 	if settle {
-		p.propose(ledger.Settle{Items: p.endings, Now: p.now + p.cfg.Offset})
+		p.number++
+		p.propose(ledger.Settle{Items: p.endings, Now: p.now + p.cfg.Offset, Term: p.cfg.Term, Number: p.number})
 		p.endings, p.loggedAt = nil, p.now
 	}
 	p.queueSeen(settle)
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -95,25 +95,27 @@
 // progress, so that no end is acknowledged before it is committed.
 func (p *Planner) queueSeen(proposed bool) {
 	if proposed {
-		p.settling = append(p.settling, seenBatch{})
+		p.settling[p.number] = seenBatch{}
 	}
+	last := p.settling[p.number]
 	for _, w := range p.touched {
-		if len(p.settling) == 0 {
+		if last == nil {
 			w.committed = w.seen
 			continue
 		}
-		p.settling[len(p.settling)-1][w] = w.seen
+		last[w] = w.seen
 	}
 	p.touched = nil
 }
 
-// commitSeen lets workers forget the ends of the oldest settlement in progress.
-func (p *Planner) commitSeen() {
-	if len(p.settling) == 0 {
+// commitSeen lets workers forget the ends of a settlement of this plan. Those of other leaders,
+// which a plan sees that doesn't know yet that its term is over, say nothing about its own.
+func (p *Planner) commitSeen(c ledger.Settle) {
+	if c.Term != p.cfg.Term {
 		return
 	}
-	for w, n := range p.settling[0] {
+	for w, n := range p.settling[c.Number] {
 		w.committed = max(w.committed, n)
 	}
-	p.settling = p.settling[1:]
+	delete(p.settling, c.Number)
 }
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -122,6 +122,9 @@
 
 // assigned sends the start orders of committed assignments.
 func (p *Planner) assigned(c ledger.Assign) {
+	if c.Term != p.cfg.Term {
+		return
+	}
 	for _, i := range c.Items {
 		j := p.jobs[i.Task.Job]
 		if j == nil {
@@ -250,7 +253,7 @@
 			p.finishPhase(ph)
 		}
 	}
-	p.commitSeen()
+	p.commitSeen(c)
 }
 
 // tickTasks repeats orders to stop.
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -142,7 +142,7 @@
 // lead starts a planner for the next term; events of the last one have no effect any more.
 func (w *world) lead() {
 	w.term++
-	p, out := plan.New(w.now, plan.Config{Lease: lease, MaxLease: maxLease, Stop: stopTime, Gang: gangWait}, w.state)
+	p, out := plan.New(w.now, plan.Config{Term: w.term, Lease: lease, MaxLease: maxLease, Stop: stopTime, Gang: gangWait}, w.state)
 	w.planner = p
 	w.perform(w.term, out)
 	w.step(w.term, plan.Callers{List: []model.Instance{"a", "b", "c"}})
--- a/vbridged/fleet/domain.go
+++ b/vbridged/fleet/domain.go
@@ -80,7 +80,7 @@
 		Group: groupName, Self: o.Self.Instance, Peers: d.peers(), Voters: voters,
 		Wanted: 2*o.Losses + 1, Bootstrap: o.Bootstrap, Folder: o.Folder,
 		Machine: machine{d}, Transport: transport{d.net}, Forwarder: forwarder{d.net},
-		OnRole: d.role, Clock: o.Clock, Timing: timing,
+		OnRole: d.role, Clock: o.Clock, Timing: timing, Linger: lingerTime,
 	})
 	if err != nil {
 		cancel()
@@ -96,6 +96,10 @@
 // domain is founded soon after its cores listen.
 const joinEvery = 250 * clock.Millisecond
 
+// lingerTime is how long a proposal may wait for others. It is short beside a round trip between
+// regions, and under load it makes one message to each core out of many.
+const lingerTime = 8 * clock.Millisecond
+
 // corePings notices a connection that went silent well within the time that a loss may last.
 func corePings() peer.Pings {
 	return peer.Pings{Local: time.Second, Across: time.Second, Timeout: time.Second}
@@ -112,7 +116,7 @@
 }
 
 func (d *Domain) register() {
-	d.net.Handle(methodQuorum, d.handleQuorum)
+	d.net.HandleRaw(methodQuorum, d.handleQuorum)
 	d.net.Handle(methodPropose, d.handlePropose)
 	d.net.Handle(methodAttend, handle(d.attend))
 	d.net.Handle(methodRequest, handle(d.request))
@@ -217,7 +221,7 @@
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	cfg := plan.Config{
-		Lease: d.o.Lease, MaxLease: d.o.MaxLease, Stop: d.o.StopTime, Gang: d.o.GangTime,
+		Term: term, Lease: d.o.Lease, MaxLease: d.o.MaxLease, Stop: d.o.StopTime, Gang: d.o.GangTime,
 		Offset: unixNow() - d.now(),
 	}
 	planner, out := plan.New(d.now(), cfg, d.state)
@@ -249,9 +253,16 @@
 	}
 }
 
+// enoughCallers is the number of other instances from which on the leader makes no ticket calls
+// itself: its processor is the scarce one.
+const enoughCallers = 4
+
 // updateCallers tells the plan which instances can make ticket calls. The caller holds mu.
 func (d *Domain) updateCallers(s *session) {
-	list := append([]model.Instance{d.o.Self.Instance}, d.roster.present(d.now())...)
+	list := d.roster.present(d.now())
+	if len(list) < enoughCallers {
+		list = append(list, d.o.Self.Instance)
+	}
 	if slices.Equal(list, s.callers) {
 		return
 	}
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -27,7 +27,7 @@
 		klog.ErrorS(err, "message of the group not sent")
 		return
 	}
-	t.net.Notify(to, methodQuorum, data)
+	t.net.NotifyRaw(to, methodQuorum, data)
 }
 
 // forwarder proposes at the leader.
@@ -40,17 +40,13 @@
 	return result, err
 }
 
-func (d *Domain) handleQuorum(_ context.Context, _ model.Instance, params json.RawMessage) (any, error) {
-	var data []byte
-	if err := json.Unmarshal(params, &data); err != nil {
-		return nil, fault.Wrap(fault.ErrInvalid, "message of the group: %v", err)
-	}
-	m, err := quorum.Decode(data)
+func (d *Domain) handleQuorum(from model.Instance, payload []byte) {
+	m, err := quorum.Decode(payload)
 	if err != nil {
-		return nil, err
+		klog.ErrorS(err, "message of the group dropped", "from", from)
+		return
 	}
 	d.group.Receive(m)
-	return true, nil
 }
 
 func (d *Domain) handlePropose(ctx context.Context, _ model.Instance, params json.RawMessage) (any, error) {
--- a/vbridged/group/config.go
+++ b/vbridged/group/config.go
@@ -63,6 +63,10 @@
 	// Clock is the system clock if nil.
 	Clock clock.Source
 
+	// Linger is how long proposals may wait for others, so that they share a message; 0 means not at
+	// all.
+	Linger clock.Millis
+
 	// Timing and Limits are the defaults of package quorum if zero.
 	Timing quorum.Timing
 	Limits quorum.Limits
--- a/vbridged/group/group.go
+++ b/vbridged/group/group.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
 	"vanillabridge/core/quorum"
 	"vanillabridge/core/store"
@@ -27,6 +28,9 @@
 	roles   *queue[Role]
 	done    chan struct{}
 	wg      sync.WaitGroup
+	// batch holds proposals that wait until flushAt for others; both belong to run.
+	batch   []quorum.Proposal
+	flushAt clock.Millis
 	nextID  atomic.Uint64
 	dropped atomic.Uint64
 
@@ -143,44 +147,59 @@
 func (g *Group) run() {
 	ticker := time.NewTicker((g.cfg.Timing.Heartbeat / ticksPerHeartbeat).Std())
 	defer ticker.Stop()
+	linger := time.NewTimer(time.Hour)
+	defer linger.Stop()
 	for {
 		select {
 		case <-g.done:
 			return
 		case <-ticker.C:
 			g.step(quorum.Tick{})
+		case <-linger.C:
+			g.flush()
 		case <-g.events.ready:
 			g.handle(g.events.take())
+			if len(g.batch) > 0 && g.flushAt == 0 {
+				g.flushAt = g.cfg.Clock.Now() + g.cfg.Linger
+				linger.Reset(g.cfg.Linger.Std())
+			}
 		}
 	}
 }
 
+// flush proposes the collected batch.
+func (g *Group) flush() {
+	batch := g.batch
+	g.batch, g.flushAt = nil, 0
+	if len(batch) > 0 {
+		g.step(quorum.Propose{Items: batch})
+	}
+}
+
 const ticksPerHeartbeat = 4
 
-// handle steps the node with all waiting events; neighbouring proposals become one batch.
+// handle steps the node with all waiting events. Proposals are collected for the linger time;
+// without one, neighbouring proposals become one batch.
 func (g *Group) handle(events []event) {
-	var batch []quorum.Proposal
-	flush := func() {
-		if len(batch) > 0 {
-			g.step(quorum.Propose{Items: batch})
-			batch = nil
-		}
-	}
 	for _, e := range events {
 		if e.proposal != nil {
 			if g.admit(e.proposal) {
-				batch = append(batch, quorum.Proposal{ID: e.proposal.id, Data: e.proposal.data})
+				g.batch = append(g.batch, quorum.Proposal{ID: e.proposal.id, Data: e.proposal.data})
 			}
 			continue
 		}
-		flush()
+		if g.cfg.Linger == 0 {
+			g.flush()
+		}
 		if e.call != nil {
 			e.call(g.node)
 			continue
 		}
 		g.step(e.in)
 	}
-	flush()
+	if g.cfg.Linger == 0 {
+		g.flush()
+	}
 }
 
 func (g *Group) step(in quorum.Input) {
--- a/vbridged/peer/link.go
+++ b/vbridged/peer/link.go
@@ -47,6 +47,8 @@
 type message struct {
 	method string
 	params json.RawMessage
+	raw    []byte
+	isRaw  bool
 }
 
 func newLink(n *Net, to Address) *link {
@@ -57,7 +59,7 @@
 // run keeps one connection up until the Net closes.
 func (l *link) run() {
 	for l.ctx.Err() == nil {
-		c, err := l.dial()
+		c, stream, err := l.dial()
 		if err != nil {
 			klog.V(2).InfoS("dial of a peer failed", "peer", l.to.Instance, "address", l.to.Peer, "error", err.Error())
 			l.drop()
@@ -65,18 +67,18 @@
 			continue
 		}
 		l.set(c)
-		l.serve(c)
+		l.serve(c, stream)
 		l.set(nil)
 		_ = c.Close()
 	}
 }
 
-func (l *link) dial() (*jsonrpc2.Conn, error) {
+func (l *link) dial() (*jsonrpc2.Conn, jsonrpc2.ObjectStream, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.to.Peer)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if l.net.tls != nil {
 		raw = tls.Client(raw, withName(l.net.tls.Client(), l.to.Peer))
@@ -89,9 +91,9 @@
 	h := hello{Instance: l.net.self.Instance, Region: l.net.self.Region}
 	if err := c.Call(ctx, methodHello, h, nil); err != nil {
 		_ = c.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	return c, nil
+	return c, stream, nil
 }
 
 // withName makes the certificate of the peer prove its address.
@@ -106,7 +108,7 @@
 }
 
 // serve sends queued notifications and pings until the connection fails.
-func (l *link) serve(c *jsonrpc2.Conn) {
+func (l *link) serve(c *jsonrpc2.Conn, stream jsonrpc2.ObjectStream) {
 	failed := make(chan struct{})
 	go l.ping(c, failed)
 	for {
@@ -118,7 +120,14 @@
 		case <-failed:
 			return
 		case m := <-l.queue:
-			if err := c.Notify(l.ctx, m.method, m.params); err != nil {
+			var err error
+			if m.isRaw {
+				// The stream orders its writes, so raw messages may go between those of the connection.
+				err = stream.WriteObject(rawMessage{method: m.method, payload: m.raw})
+			} else {
+				err = c.Notify(l.ctx, m.method, m.params)
+			}
+			if err != nil {
 				return
 			}
 		}
@@ -188,9 +197,14 @@
 		klog.ErrorS(err, "encode a notification failed", "method", method)
 		return
 	}
+	l.push(message{method: method, params: data}, len(data))
+}
+
+// push queues a message, or drops it when the queue is full.
+func (l *link) push(m message, size int) {
 	select {
-	case l.queue <- message{method: method, params: data}:
-		l.net.bytes.purpose(method, l.net.crosses(l.to.Region), len(data))
+	case l.queue <- m:
+		l.net.bytes.purpose(m.method, l.net.crosses(l.to.Region), size)
 	default:
 	}
 }
--- a/vbridged/peer/net.go
+++ b/vbridged/peer/net.go
@@ -30,6 +30,9 @@
 // Handler answers one method. A notification's result is dropped.
 type Handler func(ctx context.Context, from model.Instance, params json.RawMessage) (any, error)
 
+// RawHandler takes the payload of a raw message. It must not block.
+type RawHandler func(from model.Instance, payload []byte)
+
 // TLS gives the configuration of each new connection, so that a renewed key is used without
 // a restart. Both results are nil for plain TCP.
 type TLS interface {
@@ -54,6 +57,7 @@
 	peers    map[model.Instance]*link
 	serving  bool
 	handlers map[string]Handler
+	raws     map[string]RawHandler
 	listener net.Listener
 	accepted map[*jsonrpc2.Conn]struct{}
 }
@@ -72,6 +76,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		handlers: map[string]Handler{},
+		raws:     map[string]RawHandler{},
 		accepted: map[*jsonrpc2.Conn]struct{}{},
 	}
 	for _, a := range others {
@@ -140,6 +145,20 @@
 	n.handlers[method] = h
 }
 
+// HandleRaw registers the handler of raw messages of a method, before Serve.
+func (n *Net) HandleRaw(method string, h RawHandler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.raws[method] = h
+}
+
+func (n *Net) rawHandler(method string) (RawHandler, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, ok := n.raws[method]
+	return h, ok
+}
+
 // Bytes returns the counter of bytes.
 func (n *Net) Bytes() *Counter { return n.bytes }
 
@@ -186,6 +205,13 @@
 	}
 }
 
+// NotifyRaw is Notify for a message that is not encoded as JSON.
+func (n *Net) NotifyRaw(to model.Instance, method string, payload []byte) {
+	if p, ok := n.link(to); ok {
+		p.push(message{method: method, raw: payload, isRaw: true}, len(payload))
+	}
+}
+
 // IsReached reports whether a connection to the peer is up.
 func (n *Net) IsReached(to model.Instance) bool {
 	p, ok := n.link(to)
@@ -214,7 +240,7 @@
 	}
 	s := &session{net: n}
 	timed := timedConn{Conn: raw, read: readTimeout, write: writeTimeout, count: s.count}
-	stream := jsonrpc2.NewBufferedStream(timed, codec{})
+	stream := jsonrpc2.NewBufferedStream(timed, codec{raw: s.raw})
 	conn := jsonrpc2.NewConn(n.ctx, stream, s, append(n.stampOptions(), jsonrpc2.SetLogger(quiet{}))...)
 	n.mu.Lock()
 	n.accepted[conn] = struct{}{}
--- a/vbridged/peer/session.go
+++ b/vbridged/peer/session.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"k8s.io/klog/v2"
 
 	"vanillabridge/core/fault"
 	"vanillabridge/core/model"
@@ -55,6 +56,17 @@
 	_ = c.Reply(ctx, r.ID, data)
 }
 
+// raw hands a raw message over, once the peer has named itself.
+func (s *session) raw(method string, payload []byte) {
+	from := s.from.Load()
+	h, ok := s.net.rawHandler(method)
+	if from == nil || !ok {
+		klog.V(1).InfoS("raw message dropped", "method", method, "named", from != nil)
+		return
+	}
+	h(from.Instance, payload)
+}
+
 // encodeResult encodes an answer before the connection is locked for sending it, so that a
 // large one does not hold up the answers to pings.
 func encodeResult(result any) (json.RawMessage, error) {
