--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -90,6 +90,9 @@
 	if c == nil {
 		return false
 	}
+	if c.until > p.now+mostBacklog {
+		return false
+	}
 	c.until = max(c.until, p.now) + length
 	p.askNumber++
 	a := &asking{phase: ph, due: c.until + askTimeout}
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -70,6 +70,9 @@
 	ticketMargin = 300 * clock.Millisecond
 	// askTimeout is the time beyond the expected one after which a ticket call counts as lost.
 	askTimeout = 3 * clock.Second
+	// mostBacklog bounds the calls that wait for one caller: an answer that comes later than a ticket
+	// is valid helps nobody.
+	mostBacklog = 1200 * clock.Millisecond
 	// askAgain is the pause after a failed ticket call.
 	askAgain = 200 * clock.Millisecond
 	// shortAsk separates ticket calls that may use every caller from those kept off the reserved ones.
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -145,8 +145,8 @@
 	return true
 }
 
-// placeSingles places tasks that don't need each other. Where only a ticket is missing, room is
-// kept while the service is asked, so that steps further back don't ask for the same room.
+// placeSingles places tasks that don't need each other. Where only a valid ticket is missing, room
+// is kept while the service is asked, so that steps further back don't ask for the same room.
 func (p *Planner) placeSingles(ps *pass, ph *phase) {
 	var short []*worker
 	for _, i := range slices.Clone(ph.waiting()) {
@@ -154,14 +154,20 @@
 			p.assign(ph, i, ph.record().Slots[i].Attempt+1, w)
 			continue
 		}
-		w := p.best(ps, ph, unasked)
+		w := p.best(ps, ph, expired)
 		if w == nil {
 			break
 		}
 		p.keep(ph, []*worker{w})
 		short = append(short, w)
 	}
-	p.askKeeping(ph, short)
+	if len(short) > 0 {
+		// Fresh tickets for all that may run the step cost little more than for one, and serve the
+		// tasks whose room comes free meanwhile.
+		p.askKeeping(ph, append(short, ph.advice.list...))
+	} else if ph.job.Queue.Policy != nil && len(ph.waiting()) > 0 {
+		p.askMore(ps, ph, 1)
+	}
 }
 
 // eligible reports whether an open worker could run a task of the phase if it had room.
@@ -262,10 +268,13 @@
 // which of them may run the step doesn't change, and the answer is known before its turn comes. It
 // asks about so many that the step probably finds room among those that may run it, and about so
 // many more as make the call little longer. Each step begins at another place of the list, because
-// all steps would ask about the same of equal workers. Workers with less room than least are left
-// out.
+// all steps would ask about the same of equal workers.
+//
+// With least above 0 only workers with room for so many tasks count, and only if those that may be
+// allowed are expected to hold what the step lacks: calls about a worker or two at a time kept all
+// callers busy under load.
 func (p *Planner) askMore(ps *pass, ph *phase, least int) {
-	if ph.advice.asks > 0 {
+	if ph.advice.asks > 0 || p.now < ph.advice.next {
 		return
 	}
 	open := ps.open[ph.job.Queue.Pool]
@@ -274,6 +283,7 @@
 		n int
 	}
 	var list []room
+	total := 0
 	for i := range open {
 		w := open[(i+int(p.askNumber)*askStride)%len(open)]
 		if ph.permit(p.now, w) != unasked || !ph.eligible(w) {
@@ -281,11 +291,16 @@
 		}
 		if n := ph.slots(w); n >= least {
 			list = append(list, room{w, n})
+			total += n
 		}
 	}
+	rate := p.rate(ph.job.Queue.Name)
+	if least > 0 && float64(total)*rate < float64(p.lacking(ps, ph)) {
+		return
+	}
 	slices.SortStableFunc(list, func(a, b room) int { return cmp.Compare(b.n, a.n) })
 	var ask []*worker
-	need := askRoom * float64(len(ph.waiting())) / p.rate(ph.job.Queue.Name)
+	need := askRoom * float64(len(ph.waiting())) / rate
 	policy := ph.job.Queue.Policy
 	cheap := int(cheapPart * float64(policy.Decide*1000) / float64(max(policy.Each, 1)))
 	for i, r := range list {
@@ -295,7 +310,19 @@
 		need -= max(float64(r.n), spareShare*float64(fit(r.w.Capacity, ph.shape.Charge())))
 		ask = append(ask, r.w)
 	}
-	p.askAbout(ph, ask)
+	if p.askAbout(ph, ask) {
+		ph.advice.next = p.now + askAgain
+	}
+}
+
+// lacking returns the number of tasks for which workers known to be allowed have no room: of a gang
+// what it lacks to start, of other tasks at least one.
+func (p *Planner) lacking(ps *pass, ph *phase) int {
+	if !ph.shape.Gang {
+		return 1
+	}
+	count := len(ph.waiting())
+	return max(1, count-len(p.gather(ps, ph, count, expired)))
 }
 
 // placeGang starts all tasks of a gang at once, or none. A gang whose tickets have run out keeps
