plan: room that is kept while tickets are renewed goes to the step that kept it

Cause: when the tickets came, the room was given back first and steps of earlier rank took it; wide gangs asked again and again (24 calls for one step) and never started.

--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -115,6 +115,11 @@
 	}
 	delete(p.asks, e.Ask.Number)
 	ad := &a.phase.advice
+	granted := e.OK && ad.keeping
+	if granted {
+		// The kept room is used in the next pass, before other steps see it.
+		ad.keeping, a.phase.granted = false, true
+	}
 	p.askEnded(a.phase)
 	p.urgent = true
 	if !e.OK {
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -35,6 +35,8 @@
 	holds  []hold
 	// collects says that the room that was kept in the last pass was for a gang that gathers it.
 	collects bool
+	// granted says that the tickets have come for which room is kept.
+	granted bool
 	// latest is when the step has to start so that its occurrence ends on time, and late so that it
 	// still earns something.
 	latest, late clock.Millis
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -106,12 +106,24 @@
 	// Room that is collected goes back first, so that the gang that comes first collects all of it:
 	// two gangs that kept half each would wait for ever.
 	for _, r := range list {
-		r.ph.collects = len(r.ph.holds) > 0 && !r.ph.advice.keeping
+		r.ph.collects = len(r.ph.holds) > 0 && !r.ph.advice.keeping && !r.ph.granted
 		if r.ph.collects {
 			p.dropHolds(r.ph)
 		}
 	}
 	ps := p.newPass()
+	for _, r := range list {
+		if r.ph.granted {
+			r.ph.granted = false
+			kept := r.ph.holds
+			p.dropHolds(r.ph)
+			for _, h := range kept {
+				ps.most[h.w.Pool] = ps.most[h.w.Pool].Max(h.w.free())
+			}
+			p.placePhase(ps, r.ph)
+			p.notePlaced(r.ph)
+		}
+	}
 	for _, r := range list {
 		if !p.placePhase(ps, r.ph) {
 			continue
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -127,6 +127,38 @@
 	w.wantDone()
 }
 
+// Guards against room that is kept for a gang while its tickets are renewed and that other steps get
+// when the tickets come: under load wide gangs then asked again and again and never started.
+func TestKeptRoomGoesToItsStep(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(
+		flow.Queue{Name: "b", Prefix: "/b/", Stretch: 4, Target: 1000, Policy: &flow.Policy{Decide: 600, Each: 8000, Valid: 900}},
+		flow.Queue{Name: "a", Prefix: "/a/", Stretch: 1.5, Target: 600},
+	)
+	w.advice = 800
+	w.work = func(flow.Task, *fake) (clock.Millis, bool) { return 900, false }
+	w.lead()
+	for i := range 4 {
+		w.addWorker(fmt.Sprintf("w%d", i), worker)
+	}
+	w.run(500)
+	for i := range 20 {
+		w.submit("/a/", fmt.Sprintf("%016x", 1000+i), flow.Step{Count: 1, Need: small, Estimate: 900})
+	}
+	w.run(100)
+	w.submit("/b/", "g", flow.Step{Count: 8, Need: small, Estimate: 900, Gang: true})
+	for i := range 150 {
+		w.submit("/a/", fmt.Sprintf("%016x", 2000+i), flow.Step{Count: 1, Need: small, Estimate: 900})
+		w.run(90)
+	}
+	submitted := clock.Millis(1_000_600)
+	w.run(20 * clock.Second)
+	w.wantDone()
+	if took := w.finish["g"] - submitted; took > 9000 {
+		t.Fatalf("the gang took %s under load, want 9s at most", took)
+	}
+}
+
 // Guards against a leader that doesn't know yet that its term is over, takes a settlement of the next
 // leader for its own and lets a worker forget an end that is not committed: the task then runs again.
 func TestForeignSettlementAcknowledgesNothing(t *testing.T) {
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -54,6 +54,7 @@
 	alone   int
 	permits func(step string, id model.WorkerID) bool
 	asks    int
+	advice  clock.Millis // length of a ticket call
 	notes   []string
 	finish  map[model.JobID]clock.Millis
 }
@@ -90,7 +91,7 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1_000_000, state: ledger.New(),
 		workers: map[model.WorkerID]*fake{}, done: map[flow.Task]bool{}, noted: map[flow.Task]clock.Millis{},
-		starts: map[flow.Task]int{}, finish: map[model.JobID]clock.Millis{},
+		starts: map[flow.Task]int{}, finish: map[model.JobID]clock.Millis{}, advice: 40,
 	}
 	w.work = func(flow.Task, *fake) (clock.Millis, bool) { return 500, false }
 	w.permits = func(string, model.WorkerID) bool { return true }
@@ -174,7 +175,7 @@
 			w.after(transit, func() { w.stopRun(term, d) })
 		case plan.Ask:
 			w.asks++
-			w.after(40, func() { w.advise(term, d) })
+			w.after(w.advice, func() { w.advise(term, d) })
 		case plan.Watch:
 			w.hold(term, d.Worker)
 		case plan.Note:
