--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Modules of the workspace that hold product code; tools only pins the formatter and the linter.
-MODULES := core vbridged vbctl vbstand
+MODULES := core vbridged vbctl vbstand platform
 PROGRAMS := vbridged vbctl vbstand
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 BIN := $(CURDIR)/bin
