plan: an attempt that is over at its worker is settled by the worker's report

Ruled out: settlements of other leaders, as leadership had not changed. TestLostAnswerOfShortTask and the property test fail without the change; the simulated workers now also carry orders out whose answer is lost.

--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -30,7 +30,7 @@
 		w.config(queue("/a/"), flow.Queue{Name: "b", Prefix: "/b/", Policy: &flow.Policy{Decide: 20, Each: 100, Valid: 2500}})
 		w.permits = func(step string, id model.WorkerID) bool { return (int(step[1])+int(id[1]))%3 != 0 }
 		w.work = func(flow.Task, *fake) (clock.Millis, bool) {
-			return clock.Millis(200 + w.rng.IntN(3000)), w.rng.IntN(40) == 0
+			return clock.Millis(100 + w.rng.IntN(3000)), w.rng.IntN(40) == 0
 		}
 		w.lead()
 		for i := range 6 {
@@ -159,6 +159,27 @@
 	}
 }
 
+// Guards against a start whose answer is lost, and which has run to its end when it is repeated: the
+// worker then rejects the repeat because the attempt is over, and the task must not run again.
+func TestLostAnswerOfShortTask(t *testing.T) {
+	w := newWorld(t, 5)
+	w.config(queue("/a/"))
+	w.work = func(flow.Task, *fake) (clock.Millis, bool) { return 100, false }
+	w.lead()
+	for i := range 4 {
+		w.addWorker(fmt.Sprintf("w%d", i), worker)
+	}
+	w.run(500)
+	w.lose = 0.5
+	for i := range 30 {
+		w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 2, Need: small, Estimate: 100})
+		w.run(100)
+	}
+	w.lose = 0
+	w.run(20 * clock.Second)
+	w.wantDone()
+}
+
 // Guards against a leader that doesn't know yet that its term is over, takes a settlement of the next
 // leader for its own and lets a worker forget an end that is not committed: the task then runs again.
 func TestForeignSettlementAcknowledgesNothing(t *testing.T) {
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -175,6 +175,9 @@
 		}
 	case VerdictFence:
 		// Another leader has taken over; it settles the attempt.
+	case VerdictOld:
+		// An earlier order was carried out and the run is over, maybe done: the next report tells.
+		t.stage, t.doubt, t.sureAt = running, false, e.Clock
 	default:
 		p.refusedStart(t, e.Verdict)
 	}
@@ -189,7 +192,7 @@
 	case VerdictBusy, VerdictInvalid, VerdictRoom:
 		p.blame(t, "rejected a start")
 	}
-	if t.doubt && v != VerdictOld {
+	if t.doubt {
 		return
 	}
 	p.endTask(t, ledger.EndLost, "", v.String())
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -44,12 +44,14 @@
 	planner *plan.Planner
 	term    uint64
 	workers map[model.WorkerID]*fake
-	// lose is the share of orders without an answer, half of which are carried out late.
+	// lose is the share of orders without an answer: a third of them are carried out late, a third at
+	// once.
 	lose float64
 	// work returns how long a task takes, and whether it fails.
 	work    func(flow.Task, *fake) (clock.Millis, bool)
 	done    map[flow.Task]bool
-	noted   map[flow.Task]clock.Millis // ends done that were acknowledged
+	again   map[flow.Task]model.WorkerID // started after a success that is not yet acknowledged
+	noted   map[flow.Task]clock.Millis   // ends done that were acknowledged
 	starts  map[flow.Task]int
 	alone   int
 	permits func(step string, id model.WorkerID) bool
@@ -76,7 +78,8 @@
 	ends    []plan.Finished
 	count   int64
 	highest map[flow.Task]int
-	loop    uint64 // term whose leader holds it
+	lapses  int               // times that the lease ended
+	endedIn map[flow.Task]int // lapses when a task was done
 }
 
 type fakeRun struct {
@@ -90,7 +93,7 @@
 func newWorld(t tb, seed uint64) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1_000_000, state: ledger.New(),
-		workers: map[model.WorkerID]*fake{}, done: map[flow.Task]bool{}, noted: map[flow.Task]clock.Millis{},
+		workers: map[model.WorkerID]*fake{}, done: map[flow.Task]bool{}, again: map[flow.Task]model.WorkerID{}, noted: map[flow.Task]clock.Millis{},
 		starts: map[flow.Task]int{}, finish: map[model.JobID]clock.Millis{}, advice: 40,
 	}
 	w.work = func(flow.Task, *fake) (clock.Millis, bool) { return 500, false }
@@ -221,7 +224,7 @@
 func (w *world) addWorker(id string, size model.Size, labels ...string) *fake {
 	f := &fake{
 		Worker: flow.Worker{ID: model.WorkerID(id), Born: w.now, Pool: "pool", Address: id, Capacity: size, Labels: labels, Seq: 1},
-		up:     true, runs: map[string]*fakeRun{}, highest: map[flow.Task]int{},
+		up:     true, runs: map[string]*fakeRun{}, highest: map[flow.Task]int{}, endedIn: map[flow.Task]int{},
 	}
 	f.skew = -w.now + clock.Millis(w.rng.Int64N(1000))
 	w.workers[f.ID] = f
@@ -253,8 +256,11 @@
 		})
 	}
 	if w.rng.Float64() < w.lose {
-		if w.rng.IntN(2) == 0 {
+		switch w.rng.IntN(3) {
+		case 0:
 			w.after(clock.Millis(2000+w.rng.IntN(10_000)), func() { w.start(term, d) })
+		case 1:
+			w.after(transit, func() { w.start(term, d) }) // only the answer is lost
 		}
 		w.after(600, func() { answer(plan.VerdictUnknown, 0) })
 		return
@@ -289,6 +295,9 @@
 	if d.Expires <= w.clockOf(f) {
 		return plan.VerdictLate
 	}
+	if w.clockOf(f) > f.until {
+		f.lapses++
+	}
 	f.until = max(f.until, d.Expires)
 	if d.Attempt <= f.highest[d.Task] {
 		return plan.VerdictOld
@@ -318,6 +327,9 @@
 	if at, ok := w.noted[d.Task]; ok {
 		w.fail("task %s starts on %s after its end was acknowledged at %d", d.Task, f.ID, at)
 	}
+	if w.done[d.Task] {
+		w.again[d.Task] = f.ID
+	}
 	var used model.Size
 	for _, r := range f.runs {
 		used = used.Plus(w.shape(r.task).Charge())
@@ -440,6 +452,7 @@
 	f.ends = append(f.ends, plan.Finished{Number: f.count, Task: r.task, Attempt: r.attempt, End: how})
 	if how == ledger.EndDone {
 		w.done[r.task] = true
+		f.endedIn[r.task] = f.lapses
 	}
 }
 
@@ -523,10 +536,16 @@
 	w.lapse(f)
 	if term >= f.fence {
 		f.fence = term
+		if w.clockOf(f) > f.until {
+			f.lapses++
+		}
 		f.until = max(f.until, min(h.Expires, w.clockOf(f)+maxLease))
 		f.ends = slices.DeleteFunc(f.ends, func(e plan.Finished) bool {
 			if e.Number <= h.Seen && e.End == ledger.EndDone {
 				w.noted[e.Task] = w.now
+				if id, ok := w.again[e.Task]; ok && f.lapses == f.endedIn[e.Task] && id != f.ID {
+					w.fail("task %s was started again on %s though its success on %s counts", e.Task, id, f.ID)
+				}
 				if !w.state.Job(e.Task.Job).Steps[e.Task.Run][e.Task.Step].Slots[e.Task.Index].Done {
 					w.fail("end of task %s is acknowledged before it is committed", e.Task)
 				}
