--- a/vbridged/fleet/front.go
+++ b/vbridged/fleet/front.go
@@ -197,10 +197,9 @@
 }
 
 func (f *Front) do(ctx context.Context, r Request) (Reply, int) {
-	until := f.now() + patience
 	sure, tries, reason := true, 0, "no leader is known"
 	for {
-		leader, changed, ok := f.await(ctx, until)
+		leader, changed, ok := f.await(ctx, sure)
 		if !ok {
 			return giveUp(sure, reason), tries
 		}
@@ -218,7 +217,7 @@
 		}
 		f.doubt(leader)
 		f.pause(ctx, changed)
-		if ctx.Err() != nil || f.now() >= until {
+		if ctx.Err() != nil {
 			return giveUp(sure, reason), tries
 		}
 	}
@@ -252,8 +251,14 @@
 	return rep, err
 }
 
-// await returns the leader, waiting for one until a time.
-func (f *Front) await(ctx context.Context, until clock.Millis) (model.Instance, <-chan struct{}, bool) {
+// await returns the leader. Without one, a request that surely had no effect waits for a moment only;
+// one that may have had an effect waits as long as its caller, because only a leader can tell.
+func (f *Front) await(ctx context.Context, sure bool) (model.Instance, <-chan struct{}, bool) {
+	if sure {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, patience.Std())
+		defer cancel()
+	}
 	for {
 		f.mu.Lock()
 		leader, changed := f.leader, f.changed
@@ -261,18 +266,9 @@
 		if leader != "" {
 			return leader, changed, true
 		}
-		left := until - f.now()
-		if left <= 0 {
-			return "", nil, false
-		}
-		timer := time.NewTimer(left.Std())
 		select {
 		case <-changed:
-			timer.Stop()
-		case <-timer.C:
-			return "", nil, false
 		case <-ctx.Done():
-			timer.Stop()
 			return "", nil, false
 		}
 	}
--- a/vbridged/fleet/options.go
+++ b/vbridged/fleet/options.go
@@ -63,8 +63,9 @@
 	adviseTimeout = 5 * clock.Second
 	// tryTimeout bounds one try of a front at a leader.
 	tryTimeout = 900 * clock.Millisecond
-	// patience is how long a front waits for a leader before it refuses.
-	patience = 1500 * clock.Millisecond
+	// patience is how long a front waits for a leader with a request that surely had no effect. An
+	// election takes longer, so the caller is told at once when to come back.
+	patience = 150 * clock.Millisecond
 	// retryLeaderless is what refused callers are told while there is no leader.
 	retryLeaderless = clock.Second
 )
