--- /dev/null
+++ b/core/plan/gang.go
@@ -0,0 +1,127 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"vanillabridge/core/model"
+)
+
+// placeGang starts all tasks of a gang at once, or none. A gang whose tickets have run out keeps
+// its room while it asks again; one that has waited collects room as it becomes free.
+func (p *Planner) placeGang(ps *pass, ph *phase, fits bool) {
+	count := len(ph.waiting())
+	if count == 0 {
+		return
+	}
+	if fits && (ph.collects || p.hasNews(ps, ph)) {
+		if list := p.chooseGang(ps, ph, count, allowed); list != nil {
+			p.startGang(ph, list)
+			return
+		}
+		if list := p.chooseGang(ps, ph, count, expired); list != nil {
+			p.keep(ph, list)
+			p.askKeeping(ph, list)
+			return
+		}
+	}
+	if ph.job.Queue.Policy != nil {
+		// Other workers may have the room that those known to be allowed lack.
+		least := 1
+		if !p.isFeasible(ps, ph, count) {
+			least = 0
+		}
+		p.askMore(ps, ph, least)
+	}
+	if !p.isFeasible(ps, ph, count) {
+		return
+	}
+	if p.now-ph.since < collectAfter || ps.collecting >= collectors+len(p.workers)/collectWorkers {
+		return
+	}
+	ps.collecting++
+	if fits {
+		p.keep(ph, p.gather(ps, ph, count, expired))
+	}
+}
+
+// hasNews reports whether a worker that may run the phase has more room than at the last try.
+func (p *Planner) hasNews(ps *pass, ph *phase) bool {
+	for _, w := range ps.fresh(ph) {
+		if ph.permit(p.now, w) >= expired && ph.slots(w) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the workers that may run a phase, as far as is known.
+func (ps *pass) candidates(ph *phase) []*worker {
+	if ph.job.Queue.Policy == nil {
+		return ps.open[ph.job.Queue.Pool]
+	}
+	return ph.advice.list
+}
+
+// chooseGang returns a worker for each task of a gang, or nil if they don't all fit.
+func (p *Planner) chooseGang(ps *pass, ph *phase, count int, least permitted) []*worker {
+	list := p.gather(ps, ph, count, least)
+	if len(list) < count {
+		return nil
+	}
+	return list
+}
+
+// gather returns workers with room for up to count tasks, those with most room first: the fewer
+// workers a gang uses, the fewer failures end it.
+func (p *Planner) gather(ps *pass, ph *phase, count int, least permitted) []*worker {
+	type room struct {
+		w *worker
+		n int
+	}
+	var rooms []room
+	for _, w := range ps.candidates(ph) {
+		if n := ph.slots(w); n > 0 && w.wasOpen && ph.eligible(w) && ph.permit(p.now, w) >= least {
+			rooms = append(rooms, room{w, n})
+		}
+	}
+	slices.SortStableFunc(rooms, func(a, b room) int { return cmp.Compare(b.n, a.n) })
+	if ph.shape.OneRack {
+		byRack := map[model.Rack]int{}
+		for _, r := range rooms {
+			byRack[r.w.Rack] += r.n
+		}
+		slices.SortStableFunc(rooms, func(a, b room) int {
+			return cmp.Compare(min(byRack[b.w.Rack], count), min(byRack[a.w.Rack], count))
+		})
+	}
+	var list []*worker
+	for _, r := range rooms {
+		for range min(r.n, count-len(list)) {
+			list = append(list, r.w)
+		}
+	}
+	return list
+}
+
+// isFeasible reports whether the workers that may run a gang could hold it if they were empty.
+func (p *Planner) isFeasible(ps *pass, ph *phase, count int) bool {
+	total := 0
+	for _, w := range ps.candidates(ph) {
+		if w.wasOpen && ph.eligible(w) {
+			n := fit(w.Capacity, ph.shape.Charge())
+			if ph.shape.Spread > 0 {
+				n = min(n, ph.shape.Spread)
+			}
+			total += n
+		}
+	}
+	return total >= count
+}
+
+func (p *Planner) startGang(ph *phase, list []*worker) {
+	number := ph.record().Attempt + 1
+	for i, w := range list {
+		p.assign(ph, i, number, w)
+	}
+}
--- a/vbridged/fleet/options.go
+++ b/vbridged/fleet/options.go
@@ -69,3 +69,24 @@
 	// retryLeaderless is what refused callers are told while there is no leader.
 	retryLeaderless = clock.Second
 )
+
+// Lease is how long tasks run on without contact to the leader. It covers a change of leader: an
+// election and the first hold of the new leader.
+const Lease = 4500 * clock.Millisecond
+
+// Stopping of a front.
+const (
+	// stopPercent is the part of the time until the process is killed that is used for requests.
+	stopPercent = 80
+	// rotationTime is how long a balancer goes on sending connections to an instance that is no
+	// longer ready: two checks a second apart, and the time that a check takes.
+	rotationTime = 2500 * clock.Millisecond
+)
+
+// StopTimes divides the time that a front has until it is killed: for how long it still takes new
+// connections, and for how long it then ends requests in progress.
+func StopTimes(grace clock.Millis) (open, rest clock.Millis) {
+	use := grace.Percent(stopPercent)
+	open = min(rotationTime, use/2)
+	return open, use - open
+}
