--- a/vbstand/server/server_test.go
+++ b/vbstand/server/server_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"vanillabridge/core/proto"
@@ -49,7 +50,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	web := httptest.NewServer(stand)
+	var handlers sync.WaitGroup
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handlers.Add(1)
+		defer handlers.Done()
+		stand.ServeHTTP(w, r)
+	}))
 	req, _ := http.NewRequest(http.MethodPost, web.URL+"/s/echo/t-1", strings.NewReader("in"))
 	req.Header.Set(server.HeaderSend, "2")
 	req.Header.Set(proto.HeaderKey, "k")
@@ -59,6 +65,9 @@
 		_ = resp.Body.Close()
 	}
 	web.Close()
+	// Close doesn't wait for a handler that took its connection over, as a reset does, and the end of
+	// its run comes after the caller has seen the reset.
+	handlers.Wait()
 	if err := journal.Close(); err != nil {
 		t.Fatal(err)
 	}
