ledger, plan: settled jobs cost a leader nothing

Counts of pending jobs read all jobs while the plan waited. Now the state drops the steps of a job once it is over and all its attempts are settled, a plan passes over such jobs, and pending jobs are counted as they change.

--- a/core/ledger/job.go
+++ b/core/ledger/job.go
@@ -83,6 +83,32 @@
 // Over reports whether no task of the job may be started any more.
 func (j *Job) Over() bool { return j.Cancelled || j.Failed || j.Left == 0 }
 
+// IsSettled reports whether the job is over and no worker may still hold a task of it. Such a job
+// has no steps any more.
+func (j *Job) IsSettled() bool { return j.Over() && len(j.Steps) == 0 }
+
+func (j *Job) isPending() bool { return j.Work.Times == 0 && !j.Begun && !j.Over() }
+
+// strip drops what only a job that still runs needs: callers ask for the state of a job long after
+// its end, and a leader of many jobs would hold and send most of its state for nothing.
+func (j *Job) strip() {
+	j.Work.Spec, j.Work.Steps, j.Steps = "", nil, nil
+}
+
+// placed reports whether a worker may still hold a task of the job.
+func (j *Job) placed() bool {
+	for _, run := range j.Steps {
+		for i := range run {
+			for k := range run[i].Slots {
+				if run[i].Slots[k].Placed {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func newJob(c Submit, q flow.Queue) *Job {
 	j := &Job{Work: c.Job, Queue: q, Accepted: c.Now, Left: c.Job.Runs() * len(c.Job.Steps)}
 	for range c.Job.Runs() {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -8,6 +8,7 @@
 
 	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
+	"vanillabridge/core/model"
 )
 
 func newState(steps ...flow.Step) (*ledger.State, *ledger.Job) {
@@ -180,3 +181,49 @@
 	}
 	return ledger.Forget{Before: 25}
 }
+
+// Guards against a count of pending jobs that drifts from the jobs, and against settled jobs that
+// keep their tasks: a leader of thousands of ended jobs held 260 MB and read all of them for a count.
+func TestCountsFollowJobs(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s, _ := newState(flow.Step{Count: 2})
+		q := s.Config().Queues[0]
+		for range rapid.IntRange(1, 40).Draw(rt, "commands") {
+			id := string(rapid.SampledFrom([]rune("jklm")).Draw(rt, "job"))
+			at := flow.Task{Job: model.JobID(id), Index: rapid.IntRange(0, 1).Draw(rt, "index")}
+			attempt := rapid.IntRange(1, 3).Draw(rt, "attempt")
+			switch rapid.IntRange(0, 4).Draw(rt, "kind") {
+			case 0:
+				s.Apply(ledger.Submit{Host: "h", Path: "/a/" + id, Job: flow.Job{Spec: "x", Steps: []flow.Step{{Count: 2}}}, Now: 10})
+			case 1:
+				assign(s, at, attempt)
+			case 2:
+				settle(s, at, attempt, rapid.SampledFrom([]ledger.End{ledger.EndDone, ledger.EndFailed, ledger.EndLost}).Draw(rt, "end"))
+			case 3:
+				s.Apply(ledger.Cancel{Host: "h", Path: "/a/" + id, Now: 20})
+			case 4:
+				image, err := s.Snapshot()
+				if err != nil || s.Restore(image) != nil {
+					rt.Fatalf("snapshot: %v", err)
+				}
+			}
+			want := 0
+			for id, j := range s.Jobs() {
+				if !j.Begun && !j.Over() {
+					want++
+				}
+				placed := false
+				for i := range 2 {
+					_, slot := j.Slot(flow.Task{Job: id, Index: i})
+					placed = placed || (slot != nil && slot.Placed)
+				}
+				if j.Over() && !placed && (!j.IsSettled() || j.Work.Spec != "" || len(j.Work.Steps) > 0) {
+					rt.Fatalf("job %s is over and runs nothing, but keeps %+v", id, *j)
+				}
+			}
+			if got := s.Pending(q); got != want {
+				rt.Fatalf("pending = %d, want %d", got, want)
+			}
+		}
+	})
+}
--- a/core/ledger/state.go
+++ b/core/ledger/state.go
@@ -29,13 +29,44 @@
 	config  flow.Config
 	jobs    map[model.JobID]*Job
 	workers map[model.WorkerID]flow.Worker
+	// pending counts the jobs of a queue that are pending; it follows from jobs.
+	pending map[place]int
 	// now is the newest time in a command, so that endings carry a time without one of their own.
 	now clock.Millis
 }
 
+// place is where callers find a queue; versions of the configuration may change all else.
+type place struct{ host, prefix string }
+
+func placeOf(q flow.Queue) place { return place{q.Host, q.Prefix} }
+
 // New returns an empty state.
 func New() *State {
-	return &State{jobs: map[model.JobID]*Job{}, workers: map[model.WorkerID]flow.Worker{}}
+	return &State{
+		jobs: map[model.JobID]*Job{}, workers: map[model.WorkerID]flow.Worker{}, pending: map[place]int{},
+	}
+}
+
+// Pending returns the number of accepted jobs of a queue for which no task was assigned. Jobs with
+// due times don't count. It costs the same however many jobs there are.
+func (s *State) Pending(q flow.Queue) int { return s.pending[placeOf(q)] }
+
+// change changes a job and counts what follows from that.
+func (s *State) change(j *Job, do func()) {
+	before := j.isPending()
+	do()
+	if j.Over() && j.Ended == 0 {
+		j.Ended = s.now
+	}
+	if j.Over() && !j.placed() {
+		j.strip()
+	}
+	switch after := j.isPending(); {
+	case before && !after:
+		s.pending[placeOf(j.Queue)]--
+	case !before && after:
+		s.pending[placeOf(j.Queue)]++
+	}
 }
 
 // Config returns the configuration in force; its version is 0 if there is none.
@@ -70,15 +101,14 @@
 	case Assign:
 		for _, p := range c.Items {
 			if j := s.jobs[p.Task.Job]; j != nil {
-				j.assign(p)
+				s.change(j, func() { j.assign(p) })
 			}
 		}
 	case Settle:
 		s.now = max(s.now, c.Now)
 		for _, e := range c.Items {
 			if j := s.jobs[e.Task.Job]; j != nil {
-				j.settle(e)
-				s.close(j)
+				s.change(j, func() { j.settle(e) })
 			}
 		}
 	case Forget:
@@ -99,7 +129,11 @@
 	id := model.JobID(rest)
 	if s.jobs[id] == nil {
 		c.Job.ID = id
-		s.jobs[id] = newJob(c, q)
+		j := newJob(c, q)
+		s.jobs[id] = j
+		if j.isPending() {
+			s.pending[placeOf(q)]++
+		}
 	}
 	return OutcomeDone
 }
@@ -118,18 +152,11 @@
 	}
 	s.now = max(s.now, c.Now)
 	if !j.Over() {
-		j.Cancelled = true
-		s.close(j)
+		s.change(j, func() { j.Cancelled = true })
 	}
 	return OutcomeDone
 }
 
-func (s *State) close(j *Job) {
-	if j.Over() && j.Ended == 0 {
-		j.Ended = s.now
-	}
-}
-
 // enlist takes the newest description of a worker; an older life or an older announcement, which
 // may arrive late, changes nothing. Leaving is final for a life.
 func (s *State) enlist(w flow.Worker) {
@@ -144,26 +171,12 @@
 
 func (s *State) forget(before clock.Millis) {
 	for id, j := range s.jobs {
-		if j.Ended != 0 && j.Ended < before && !j.placed() {
+		if j.Ended != 0 && j.Ended < before && j.IsSettled() {
 			delete(s.jobs, id)
 		}
 	}
 }
 
-// placed reports whether a worker may still hold a task of the job.
-func (j *Job) placed() bool {
-	for _, run := range j.Steps {
-		for i := range run {
-			for k := range run[i].Slots {
-				if run[i].Slots[k].Placed {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // image is the form of a snapshot.
 type image struct {
 	_       struct{} `cbor:",toarray"`
@@ -203,8 +216,11 @@
 	}
 	*s = *New()
 	s.config, s.now = i.Config, i.Now
-	if i.Jobs != nil {
-		s.jobs = i.Jobs
+	for id, j := range i.Jobs {
+		s.jobs[id] = j
+		if j.isPending() {
+			s.pending[placeOf(j.Queue)]++
+		}
 	}
 	if i.Workers != nil {
 		s.workers = i.Workers
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -126,7 +126,7 @@
 		j.runs = append(j.runs, p.newRun(j, run))
 	}
 	p.jobs[lj.Work.ID] = j
-	if lj.Work.Times > 0 {
+	if lj.Work.Times > 0 && !lj.Over() {
 		p.timed[lj.Work.ID] = j
 	}
 	for run := range j.runs {
@@ -249,6 +249,21 @@
 		j.closed = true
 		p.note(Note{Event: "job closed", Job: j.Work.ID, Cause: string(j.Phase()) + ": " + reason, Age: p.now - j.accepted})
 	}
+	if j.IsSettled() && !j.hasTasks() {
+		delete(p.jobs, j.Work.ID)
+	}
+}
+
+// hasTasks reports whether attempts of the job are not settled.
+func (j *job) hasTasks() bool {
+	for _, run := range j.runs {
+		for _, ph := range run {
+			if len(ph.tasks) > 0 {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // tickDue starts occurrences whose time has come.
@@ -267,17 +282,6 @@
 	}
 }
 
-// Pending returns the number of accepted jobs of a queue for which no task was assigned.
-func Pending(s *ledger.State, q flow.Queue) int {
-	n := 0
-	for _, j := range s.Jobs() {
-		if j.Queue.Host == q.Host && j.Queue.Prefix == q.Prefix && j.Work.Times == 0 && !j.Begun && !j.Over() {
-			n++
-		}
-	}
-	return n
-}
-
 // hold keeps room on a worker for a phase.
 type hold struct {
 	w      *worker
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -350,3 +350,23 @@
 	}
 	t.Logf("%d looks a second", (w.planner.Looks()-before)/3)
 }
+
+// Guards against a new leader that spends its first second on jobs that ended long ago: it wrote a
+// line for each of 5000 and built their steps, while callers waited for the first answer.
+func TestNewPlanPassesOverSettledJobs(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(queue("/a/"))
+	w.lead()
+	w.addWorker("w0", worker)
+	w.run(500)
+	for i := range 50 {
+		w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 1, Need: small, Estimate: 500})
+	}
+	w.run(30 * clock.Second)
+	w.wantDone()
+	_, out := plan.New(w.now, plan.Config{Term: 9, Lease: lease, MaxLease: maxLease}, w.state)
+	want := []plan.Decision{plan.Watch{Worker: plan.Life{ID: "w0", Born: w.workers["w0"].Born}}}
+	if diff := cmp.Diff(want, out); diff != "" {
+		t.Fatalf("decisions of a new plan (-want +got):\n%s", diff)
+	}
+}
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -70,13 +70,20 @@
 		p.addWorker(now, state.Workers()[id])
 	}
 	jobs := make([]model.JobID, 0, len(state.Jobs()))
-	for id := range state.Jobs() {
-		jobs = append(jobs, id)
+	for id, j := range state.Jobs() {
+		if !j.IsSettled() {
+			jobs = append(jobs, id)
+		}
 	}
 	slices.Sort(jobs)
 	for _, id := range jobs {
 		p.addJob(state.Jobs()[id])
 	}
+	// The line of the plan's start counts what it takes over; a line for each worker says no more.
+	p.out = slices.DeleteFunc(p.out, func(d Decision) bool {
+		n, ok := d.(Note)
+		return ok && n.Event == workerJoins
+	})
 	return p, p.finish()
 }
 
@@ -140,7 +147,7 @@
 	case ledger.Submit:
 		_, rest, ok := p.state.Config().Lookup(c.Host, c.Path)
 		id := model.JobID(rest)
-		if j := p.state.Job(id); ok && j != nil && p.jobs[id] == nil {
+		if j := p.state.Job(id); ok && j != nil && p.jobs[id] == nil && !j.IsSettled() {
 			p.addJob(j)
 		}
 	case ledger.Cancel:
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -65,6 +65,9 @@
 	return w.clock+passed > w.leaseEnd
 }
 
+// workerJoins is the event of a life of a worker that the plan didn't know.
+const workerJoins = "worker joins"
+
 func (p *Planner) addWorker(now clock.Millis, fw flow.Worker) {
 	old := p.workers[fw.ID]
 	if old != nil && old.Born == fw.Born {
@@ -86,7 +89,7 @@
 	p.workers[fw.ID] = w
 	p.order, p.grown = nil, nil
 	p.out = append(p.out, Watch{Worker: w.life()})
-	p.note(Note{Event: "worker joins", Worker: fw.ID, Cause: fw.Capacity.String()})
+	p.note(Note{Event: workerJoins, Worker: fw.ID, Cause: fw.Capacity.String()})
 }
 
 // loseWorker ends all that a life of a worker ran; it surely runs no more.
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -12,7 +12,6 @@
 	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
 	"vanillabridge/core/model"
-	"vanillabridge/core/plan"
 	"vanillabridge/core/quorum"
 	"vanillabridge/vbridged/peer"
 )
@@ -173,7 +172,7 @@
 	case !ok:
 		rep.Status = StatusNoQueue
 	case r.Kind == KindPending:
-		rep.Pending = plan.Pending(d.state, q)
+		rep.Pending = d.state.Pending(q)
 	default:
 		j := d.state.Job(model.JobID(rest))
 		if j == nil {
