--- a/vbridged/fleet/domain.go
+++ b/vbridged/fleet/domain.go
@@ -142,6 +142,7 @@
 	d.wait.Go(func() { every(d.ctx, attendEvery, d.attendAll) })
 	d.wait.Go(func() { every(d.ctx, tickEvery, func() { d.step(plan.Tick{}) }) })
 	d.wait.Go(func() { every(d.ctx, forgetEvery, d.forget) })
+	d.wait.Go(func() { every(d.ctx, gaugeEvery, d.gauge) })
 }
 
 // every calls f at once and then periodically until ctx ends.
--- a/vbridged/fleet/metrics.go
+++ b/vbridged/fleet/metrics.go
@@ -17,6 +17,9 @@
 	notes    *prometheus.CounterVec
 	leads    prometheus.Gauge
 	terms    prometheus.Gauge
+	waiting  *prometheus.GaugeVec
+	room     *prometheus.GaugeVec
+	looks    prometheus.Gauge
 }
 
 // NewMetrics registers the metrics.
@@ -37,6 +40,11 @@
 		r.MustRegister(g)
 		return g
 	}
+	gauges := func(name, help, label string) *prometheus.GaugeVec {
+		g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, []string{label})
+		r.MustRegister(g)
+		return g
+	}
 	return &Metrics{
 		requests: histogram("vb_request_seconds", "Time to answer callers' requests, in seconds.", "kind", "status"),
 		orders:   histogram("vb_order_seconds", "Time of orders to workers, in seconds.", "kind", "verdict"),
@@ -45,6 +53,9 @@
 		notes:    counter("vb_decisions_total", "Decisions of the plan.", "event"),
 		leads:    gauge("vb_leads", "1 while this instance leads the domain."),
 		terms:    gauge("vb_term", "Newest known term of the domain."),
+		waiting:  gauges("vb_waiting_steps", "Steps with waiting tasks, at the leader, by whether they can still end on time.", "hope"),
+		room:     gauges("vb_room_cores", "Processor room of open workers in cores, at the leader.", "state"),
+		looks:    gauge("vb_looks", "How often the plan of this term considered a worker for a step."),
 	}
 }
 
@@ -64,6 +75,17 @@
 
 func (m *Metrics) note(event string) { m.notes.WithLabelValues(event).Inc() }
 
+func (m *Metrics) gauge(g plan.Gauge) {
+	for i, hope := range []string{"on time", "late", "rest"} {
+		m.waiting.WithLabelValues(hope).Set(float64(g.Waiting[i]))
+	}
+	const perCore = 1000 // millicores
+	m.room.WithLabelValues("all").Set(float64(g.Room.CPU) / perCore)
+	m.room.WithLabelValues("used").Set(float64(g.Used.CPU) / perCore)
+	m.room.WithLabelValues("held").Set(float64(g.Held.CPU) / perCore)
+	m.looks.Set(float64(g.Looks))
+}
+
 func (m *Metrics) role(leads bool, term uint64) {
 	m.leads.Set(0)
 	if leads {
--- a/vbridged/fleet/options.go
+++ b/vbridged/fleet/options.go
@@ -55,6 +55,8 @@
 	tickEvery = 20 * clock.Millisecond
 	// forgetEvery is how often ended jobs are dropped.
 	forgetEvery = 10 * clock.Second
+	// gaugeEvery is how often a leader logs what its plan looks like.
+	gaugeEvery = clock.Second
 	// orderTimeout bounds a start or stop: two transits between regions and time to work.
 	orderTimeout = 600 * clock.Millisecond
 	// holdSlack is the time beyond the wait of a hold after which it counts as unanswered.
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -167,6 +167,23 @@
 		"cause", n.Cause, "age", int64(n.Age), "term", s.term, "version", d.state.Config().Version)
 }
 
+// gauge logs and counts what the plan looks like, if this instance has one. The share of the processor
+// room that is used tells a full domain from a leader that is behind.
+func (d *Domain) gauge() {
+	d.mu.Lock()
+	s := d.session
+	if s == nil {
+		d.mu.Unlock()
+		return
+	}
+	g := s.planner.Gauge()
+	d.mu.Unlock()
+	d.metrics.gauge(g)
+	klog.InfoS("plan", "term", s.term, "workers", g.Workers, "open", g.Open, "room", g.Room.String(), "used", g.Used.String(),
+		"held", g.Held.String(), "onTime", g.Waiting[0], "late", g.Waiting[1], "rest", g.Waiting[2], "asks", g.Asks,
+		"busyCallers", g.Backlog, "looks", g.Looks)
+}
+
 func logOrder(kind string, term uint64, task string, attempt int, w model.WorkerID, v plan.Verdict, took time.Duration) {
 	if v == plan.VerdictDone {
 		return // the line of the placement says it; the metrics count it
