plan: shorter backlog of ticket calls, fewer callers reserved, one call a step at a time

Long calls could use 27 of 40 callers and were all busy, while short calls need two of them. A call waited up to 1.2 s at its caller, in the order of arrival.

--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -77,21 +77,24 @@
 	return c != nil && c.until <= p.now+mostBacklog
 }
 
-// askAbout calls the ticket service about workers for a step, and reports whether it does. More
-// workers than one call may name are asked about by several callers at a time.
-func (p *Planner) askAbout(ph *phase, list []*worker) bool {
+// Reasons of ticket calls, for the log.
+const (
+	reasonFirst = "first"   // nothing is known of any worker
+	reasonMore  = "further" // the workers known to be allowed lack room
+	reasonKept  = "kept"    // room is kept on workers whose tickets ran out
+)
+
+// askAbout calls the ticket service about workers for a step, and reports whether it does. It asks
+// about no more workers than one call may name: the callers are scarce when load is high, and a step
+// that used several at a time kept others from their first call.
+func (p *Planner) askAbout(ph *phase, list []*worker, reason string) bool {
 	if len(list) == 0 || ph.advice.asks > 0 || p.now < ph.advice.next {
 		return false
 	}
-	for part := range slices.Chunk(list, mostAsked) {
-		if !p.call(ph, part) {
-			return ph.advice.asks > 0
-		}
-	}
-	return true
+	return p.call(ph, list[:min(len(list), mostAsked)], reason)
 }
 
-func (p *Planner) call(ph *phase, list []*worker) bool {
+func (p *Planner) call(ph *phase, list []*worker, reason string) bool {
 	policy := ph.job.Queue.Policy
 	length := policy.Decide + clock.Millis(policy.Each*int64(len(list))/1000)
 	c := p.pickCaller(length)
@@ -104,7 +107,7 @@
 	c.until = max(c.until, p.now) + length
 	p.askNumber++
 	a := &asking{phase: ph, due: c.until + askTimeout}
-	a.ask = Ask{Task: ph.name, Caller: c.name, Number: p.askNumber}
+	a.ask = Ask{Task: ph.name, Caller: c.name, Number: p.askNumber, Reason: reason}
 	for _, w := range list {
 		a.ask.Workers = append(a.ask.Workers, w.ID)
 		a.about = append(a.about, w)
--- a/core/plan/decision.go
+++ b/core/plan/decision.go
@@ -41,6 +41,8 @@
 	// Caller is the instance that makes the call.
 	Caller model.Instance
 	Number uint64
+	// Reason says what the plan wants to know.
+	Reason string
 }
 
 // Watch asks for holds of a worker, as NextHold says, until its life is over.
--- a/core/plan/further.go
+++ b/core/plan/further.go
@@ -5,7 +5,7 @@
 	if len(list) == 0 {
 		return
 	}
-	if p.askAbout(ph, distinct(list)) {
+	if p.askAbout(ph, distinct(list), reasonKept) {
 		ph.advice.keeping = true
 	} else {
 		p.dropHolds(ph)
@@ -56,7 +56,11 @@
 		need -= max(float64(r.n), spareShare*float64(fit(r.w.Capacity, ph.shape.Charge())))
 		ask = append(ask, r.w)
 	}
-	if p.askAbout(ph, ask) {
+	reason := reasonMore
+	if !ph.advice.asked {
+		reason = reasonFirst
+	}
+	if p.askAbout(ph, ask, reason) {
 		ph.advice.next = p.now + askAgain
 	} else {
 		ph.advice.next = p.now + lookAgain
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -74,15 +74,16 @@
 	ticketMargin = 300 * clock.Millisecond
 	// askTimeout is the time beyond the expected one after which a ticket call counts as lost.
 	askTimeout = 3 * clock.Second
-	// mostBacklog bounds the calls that wait for one caller: an answer that comes later than a ticket
-	// is valid helps nobody.
-	mostBacklog = 1200 * clock.Millisecond
+	// mostBacklog bounds the calls that wait for one caller. It covers the transit to a caller in
+	// another region; with more, the order in which steps came would count instead of their rank.
+	mostBacklog = 200 * clock.Millisecond
 	// askAgain is the pause after a failed ticket call.
 	askAgain = 200 * clock.Millisecond
 	// shortAsk separates ticket calls that may use every caller from those kept off the reserved ones.
 	shortAsk = 100 * clock.Millisecond
-	// reservedPart is the part of the callers that long ticket calls leave free.
-	reservedPart = 3
+	// reservedPart is the part of the callers that long ticket calls leave free: an eighth makes some
+	// 15 short calls a second for each instance that calls.
+	reservedPart = 8
 	// collectAfter is how long a gang waits before room is kept free for it.
 	collectAfter = 500 * clock.Millisecond
 	// collectors bounds the gangs for which room is kept free at one time, and collectWorkers is the
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -148,7 +148,7 @@
 		err = d.net.Call(ctx, x.Caller, methodAdvise, adviseQuery{Step: x.Task.Phase(), Workers: x.Workers}, &a)
 	}
 	d.metrics.ask(err == nil, time.Since(from))
-	klog.InfoS("ticket call", "step", x.Task.Phase(), "job", x.Task.Job, "caller", x.Caller, "asked", len(x.Workers),
+	klog.InfoS("ticket call", "reason", x.Reason, "step", x.Task.Phase(), "job", x.Task.Job, "caller", x.Caller, "asked", len(x.Workers),
 		"approved", len(a.Tickets), "took", time.Since(from).Milliseconds(), "term", s.term, "error", text(err))
 	d.stepIn(s, plan.Advised{Ask: x, OK: err == nil, Tickets: a.Tickets, Valid: a.Valid})
 }
