plan: gangs renew tickets while they collect

A gang that had found its room with tickets that had run out kept the room for another 0.8 s call, and could not make it while a call about further workers was in progress: 4% of those calls led to a start. Now a gang asks about further workers only when those known to be allowed hold too little, and renews tickets when half of its room is collected.

--- a/core/plan/further.go
+++ b/core/plan/further.go
@@ -1,13 +1,15 @@
 package plan
 
-// askKeeping asks about workers on which room was kept for the phase.
+// askKeeping asks about workers on which room was kept for the phase. The answer of a call that is
+// in progress is awaited first. A gang that collects keeps its room also while no caller is free.
 func (p *Planner) askKeeping(ph *phase, list []*worker) {
 	if len(list) == 0 {
 		return
 	}
-	if p.askAbout(ph, distinct(list), reasonKept) {
+	switch {
+	case ph.advice.asks > 0 || p.askAbout(ph, distinct(list), reasonKept):
 		ph.advice.keeping = true
-	} else {
+	case !ph.collects:
 		p.dropHolds(ph)
 	}
 }
--- a/core/plan/gang.go
+++ b/core/plan/gang.go
@@ -25,27 +25,31 @@
 			return
 		}
 	}
-	feasible := p.isFeasible(ps, ph, count)
-	if ph.job.Queue.Policy != nil {
-		// Other workers may have the room that those known to be allowed lack.
-		least := 1
-		if !feasible {
-			least = 0
-		}
-		p.askMore(ps, ph, least)
+	most := p.mostRoom(ps, ph)
+	if ph.job.Queue.Policy != nil && most < gangRoom*count {
+		// With little more room than it needs, a gang would wait until nearly all of it is free at once.
+		p.askMore(ps, ph, 0)
 	}
-	if !feasible {
+	if most < count || p.now-ph.since < collectAfter || ps.collecting >= collectors+len(p.workers)/collectWorkers {
 		return
 	}
-	if p.now-ph.since < collectAfter || ps.collecting >= collectors+len(p.workers)/collectWorkers {
+	ps.collecting++
+	if !fits {
 		return
 	}
-	ps.collecting++
-	if fits {
-		p.keep(ph, p.gather(ps, ph, count, expired))
+	list := p.gather(ps, ph, count, expired)
+	p.keep(ph, list)
+	if len(list) >= int(renewPart*float64(count)) && p.anyExpired(ph, list) {
+		// The answer comes when the rest is probably collected, so that the room waits less.
+		p.askAbout(ph, distinct(append(list, ph.advice.list...)), reasonKept)
 	}
 }
 
+// anyExpired reports whether a ticket of listed workers is not valid.
+func (p *Planner) anyExpired(ph *phase, list []*worker) bool {
+	return slices.ContainsFunc(list, func(w *worker) bool { return ph.permit(p.now, w) < allowed })
+}
+
 // hasNews reports whether a worker that may run the phase has more room than at the last try.
 func (p *Planner) hasNews(ps *pass, ph *phase) bool {
 	fresh := ps.fresh(ph)
@@ -106,8 +110,8 @@
 	return list
 }
 
-// isFeasible reports whether the workers that may run a gang could hold it if they were empty.
-func (p *Planner) isFeasible(ps *pass, ph *phase, count int) bool {
+// mostRoom returns how many tasks of a gang the workers that may run it would hold if they were empty.
+func (p *Planner) mostRoom(ps *pass, ph *phase) int {
 	total := 0
 	candidates := ps.candidates(ph)
 	p.looks += uint64(len(candidates))
@@ -120,7 +124,7 @@
 			total += n
 		}
 	}
-	return total >= count
+	return total
 }
 
 func (p *Planner) startGang(ph *phase, list []*worker) {
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -86,6 +86,11 @@
 	reservedPart = 8
 	// collectAfter is how long a gang waits before room is kept free for it.
 	collectAfter = 500 * clock.Millisecond
+	// gangRoom is how many times its tasks the workers known to be allowed should hold when empty, so
+	// that a gang gathers room while others use most of it.
+	gangRoom = 3
+	// renewPart is the part of its room with which a gang that collects renews its tickets.
+	renewPart = 0.5
 	// collectors bounds the gangs for which room is kept free at one time, and collectWorkers is the
 	// number of workers for each one more.
 	collectors     = 2
