--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -147,6 +147,9 @@
 	delete(p.asks, e.Ask.Number)
 	if e.OK {
 		p.learnExtra(a)
+	} else {
+		// A caller that is down fails at once and would draw all calls. Another one is asked instead.
+		a.by.until = max(a.by.until, p.now+callerPause)
 	}
 	ad := &a.phase.advice
 	granted := e.OK && ad.keeping
@@ -157,7 +160,7 @@
 	p.askEnded(a.phase)
 	p.urgent = true
 	if !e.OK {
-		ad.next = p.now + askAgain
+		ad.next = p.now
 		return
 	}
 	p.learnRate(a.phase.job.Queue.Name, len(e.Tickets), len(a.about))
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -77,7 +77,10 @@
 	// mostBacklog bounds the calls that wait for one caller. It covers the transit to a caller in
 	// another region; with more, the order in which steps came would count instead of their rank.
 	mostBacklog = 200 * clock.Millisecond
-	// askAgain is the pause after a failed ticket call.
+	// callerPause is how long a caller whose call failed is not used; an instance that is gone leaves
+	// the list of callers within a few seconds.
+	callerPause = clock.Second
+	// askAgain is the pause between ticket calls of one step.
 	askAgain = 200 * clock.Millisecond
 	// shortAsk separates ticket calls that may use every caller from those kept off the reserved ones.
 	shortAsk = 100 * clock.Millisecond
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -430,3 +430,26 @@
 		t.Fatalf("pending = %d under the next leader", got)
 	}
 }
+
+// Guards against a caller that is down and draws all ticket calls, because its calls fail at once:
+// 164 of them went to a core that was off for 1.5 s, and a hundred steps waited.
+func TestFailingCallerIsLeftAlone(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(flow.Queue{Name: "a", Prefix: "/a/", Policy: &flow.Policy{Decide: 20, Each: 100, Valid: 2500}})
+	w.badCallers = map[model.Instance]bool{"b": true}
+	w.lead()
+	for i := range 10 {
+		w.addWorker(fmt.Sprintf("w%02d", i), worker)
+	}
+	w.run(500)
+	for i := range 50 {
+		w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 1, Need: small, Estimate: 500})
+		w.run(40)
+	}
+	w.run(2 * clock.Second)
+	w.wantDone()
+	// One call a second finds out that the caller is still down.
+	if w.badAsks > 5 {
+		t.Errorf("%d calls to a caller that is down in 4.5 s, want at most 5", w.badAsks)
+	}
+}
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -61,6 +61,9 @@
 	// farCallers need two more transits for a ticket call; farAsks counts their calls.
 	farCallers map[model.Instance]bool
 	farAsks    int
+	// badCallers fail at once; badAsks counts their calls.
+	badCallers map[model.Instance]bool
+	badAsks    int
 	near       bool // workers that are added are next to the leader
 	notes      []string
 	finish     map[model.JobID]clock.Millis
@@ -186,6 +189,11 @@
 			w.after(transit, func() { w.stopRun(term, d) })
 		case plan.Ask:
 			w.asks++
+			if w.badCallers[d.Caller] {
+				w.badAsks++
+				w.after(1, func() { w.step(term, plan.Advised{Ask: d}) })
+				break
+			}
 			took := w.advice
 			if w.farCallers[d.Caller] {
 				took += 2 * transit
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -181,7 +182,17 @@
 	d.metrics.gauge(g)
 	klog.InfoS("plan", "term", s.term, "workers", g.Workers, "open", g.Open, "room", g.Room.String(), "used", g.Used.String(),
 		"held", g.Held.String(), "onTime", g.Waiting[0], "late", g.Waiting[1], "rest", g.Waiting[2], "asks", g.Asks,
-		"busyCallers", g.Backlog, "looks", g.Looks)
+		"busyCallers", g.Backlog, "looks", g.Looks, "processor", processorTime().Milliseconds())
+}
+
+// processorTime returns the processor time that this process has used so far, or 0 if the system
+// doesn't tell.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func logOrder(kind string, term uint64, task string, attempt int, w model.WorkerID, v plan.Verdict, took time.Duration) {
