peer, fleet: requests and ticket calls travel as raw calls; announcements go to the followers

Raw calls carry CBOR and keep the sentinels of errors (the tests of calls run over both forms); the leader sends workers to another core, which answers from its own replica.

--- a/vbridged/fleet/domain.go
+++ b/vbridged/fleet/domain.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
 	"vanillabridge/core/clock"
@@ -119,10 +120,48 @@
 	d.net.HandleRaw(methodQuorum, d.handleQuorum)
 	d.net.Handle(methodPropose, d.handlePropose)
 	d.net.Handle(methodAttend, handle(d.attend))
-	d.net.Handle(methodRequest, handle(d.request))
-	d.net.Handle(methodAdvise, handle(func(ctx context.Context, _ model.Instance, q adviseQuery) (Advice, error) {
-		return d.o.Tickets.Advise(ctx, q.Step, q.Workers)
-	}))
+	d.net.ServeRaw(methodRequest, server(d.request))
+	d.net.ServeRaw(methodAdvise, server(adviser(d.o.Tickets)))
+}
+
+// adviser makes ticket calls for the leader.
+func adviser(t Tickets) func(context.Context, model.Instance, adviseQuery) (Advice, error) {
+	return func(ctx context.Context, _ model.Instance, q adviseQuery) (Advice, error) {
+		return t.Advise(ctx, q.Step, q.Workers)
+	}
+}
+
+// server decodes the parameters of a raw call and encodes its result. Requests and ticket calls are
+// most of the leader's calls, and JSON took a fifth of its processor.
+func server[P, R any](f func(context.Context, model.Instance, P) (R, error)) peer.RawServer {
+	return func(ctx context.Context, from model.Instance, payload []byte) ([]byte, error) {
+		var p P
+		if err := cbor.Unmarshal(payload, &p); err != nil {
+			return nil, fault.Wrap(fault.ErrInvalid, "parameters: %v", err)
+		}
+		r, err := f(ctx, from, p)
+		if err != nil {
+			return nil, err
+		}
+		return cbor.Marshal(r)
+	}
+}
+
+// call makes a raw call whose parameters and result server decodes and encodes.
+func call[P, R any](ctx context.Context, n *peer.Net, to model.Instance, method string, params P) (R, error) {
+	var r R
+	payload, err := cbor.Marshal(params)
+	if err != nil {
+		return r, fault.Wrap(fault.ErrInvalid, "call %s: encode: %v", method, err)
+	}
+	data, err := n.CallRaw(ctx, to, method, payload)
+	if err != nil {
+		return r, err
+	}
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return r, fault.Wrap(fault.ErrUnknown, "call %s at %s: answer: %v", method, to, err)
+	}
+	return r, nil
 }
 
 // handle decodes the parameters of a method.
--- a/vbridged/fleet/front.go
+++ b/vbridged/fleet/front.go
@@ -41,9 +41,7 @@
 	f.net = peer.New(o.Self, nil, nil, nil)
 	f.net.SetPings(corePings())
 	f.roster = newRoster(o.Self, f.net)
-	f.net.Handle(methodAdvise, handle(func(ctx context.Context, _ model.Instance, q adviseQuery) (Advice, error) {
-		return f.o.Tickets.Advise(ctx, q.Step, q.Workers)
-	}))
+	f.net.ServeRaw(methodAdvise, server(adviser(o.Tickets)))
 	f.SetSeeds(o.Seeds)
 	return f
 }
@@ -246,9 +244,7 @@
 func (f *Front) try(ctx context.Context, leader model.Instance, r Request) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout.Std())
 	defer cancel()
-	var rep Reply
-	err := f.net.Call(ctx, leader, methodRequest, r, &rep)
-	return rep, err
+	return call[Request, Reply](ctx, f.net, leader, methodRequest, r)
 }
 
 // await returns the leader. Without one, a request that surely had no effect waits for a moment only;
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -133,8 +133,9 @@
 
 // adviseQuery is a ticket call that another instance makes.
 type adviseQuery struct {
-	Step    string           `json:"step"`
-	Workers []model.WorkerID `json:"workers"`
+	_       struct{} `cbor:",toarray"`
+	Step    string
+	Workers []model.WorkerID
 }
 
 func (d *Domain) ask(s *session, x plan.Ask) {
@@ -146,7 +147,7 @@
 	if x.Caller == d.o.Self.Instance {
 		a, err = d.o.Tickets.Advise(ctx, x.Task.Phase(), x.Workers)
 	} else {
-		err = d.net.Call(ctx, x.Caller, methodAdvise, adviseQuery{Step: x.Task.Phase(), Workers: x.Workers}, &a)
+		a, err = call[adviseQuery, Advice](ctx, d.net, x.Caller, methodAdvise, adviseQuery{Step: x.Task.Phase(), Workers: x.Workers})
 	}
 	d.metrics.ask(err == nil, time.Since(from))
 	klog.InfoS("ticket call", "reason", x.Reason, "step", x.Task.Phase(), "job", x.Task.Job, "caller", x.Caller, "asked", len(x.Workers),
--- a/vbridged/fleet/ports.go
+++ b/vbridged/fleet/ports.go
@@ -25,6 +25,7 @@
 
 // Advice is the answer of the ticket service: the ticket of each worker that may run the step.
 type Advice struct {
-	Tickets map[model.WorkerID]string `json:"tickets"`
-	Valid   clock.Millis              `json:"valid"`
+	_       struct{} `cbor:",toarray"`
+	Tickets map[model.WorkerID]string
+	Valid   clock.Millis
 }
--- a/vbridged/fleet/request.go
+++ b/vbridged/fleet/request.go
@@ -19,12 +19,13 @@
 
 // Request is a caller's request about a job or a queue.
 type Request struct {
+	_ struct{} `cbor:",toarray"`
 	// ID names the request in logs.
-	ID   string    `json:"id"`
-	Kind Kind      `json:"kind"`
-	Host string    `json:"host"`
-	Path string    `json:"path"`
-	Job  *flow.Job `json:"job,omitempty"`
+	ID   string
+	Kind Kind
+	Host string
+	Path string
+	Job  *flow.Job // of a submission
 }
 
 // Status says how a request ended.
@@ -47,16 +48,17 @@
 
 // Reply answers a Request.
 type Reply struct {
-	Status Status       `json:"status"`
-	Phase  ledger.Phase `json:"phase,omitempty"`
+	_      struct{} `cbor:",toarray"`
+	Status Status
+	Phase  ledger.Phase
 	// Pending is the number of jobs of the queue of which no task has started.
-	Pending int `json:"pending,omitempty"`
+	Pending int
 	// Retry is when a refused request may succeed, as a duration.
-	Retry clock.Millis `json:"retry,omitempty"`
+	Retry clock.Millis
 	// Version is the configuration that decided; Term the leader's term.
-	Version uint64 `json:"version,omitempty"`
-	Term    uint64 `json:"term,omitempty"`
-	Reason  string `json:"reason,omitempty"`
+	Version uint64
+	Term    uint64
+	Reason  string
 }
 
 func replyTo(o ledger.Outcome) Status {
--- a/vbridged/fleet/roster.go
+++ b/vbridged/fleet/roster.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
 	"vanillabridge/vbridged/peer"
@@ -106,6 +108,24 @@
 	return list
 }
 
+// deskOf returns the HTTP address of another core that spoke lately, or nothing if there is none.
+// Announcements that hold no news need no leader, and took a tenth of its processor.
+func (r *roster) deskOf(now clock.Millis, id model.WorkerID) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for name, m := range r.members {
+		if at, ok := r.seen[name]; ok && m.Core && now-at <= goneAfter {
+			list = append(list, m.Address.HTTP)
+		}
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	slices.Sort(list)
+	return list[xxhash.Sum64String(string(id))%uint64(len(list))]
+}
+
 // forgetGone drops instances other than cores that are gone, so that they are not dialled for ever.
 func (r *roster) forgetGone(now clock.Millis) {
 	r.mu.Lock()
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -188,12 +188,12 @@
 }
 
 // Announce takes what a worker says of itself in. It returns once the news are committed; what is
-// known already is not committed again. The address is that of the leader, for later announcements.
+// known already is not committed again. The address is where later announcements should go, if not here.
 func (d *Domain) Announce(ctx context.Context, w flow.Worker) (string, error) {
-	leader, term, _ := d.group.Leader()
+	_, term, leads := d.group.Leader()
 	at := ""
-	if m, ok := d.roster.find(model.Instance(leader)); ok {
-		at = m.Address.HTTP
+	if leads {
+		at = d.roster.deskOf(d.now(), w.ID)
 	}
 	d.mu.Lock()
 	old, known := d.state.Workers()[w.ID]
--- a/vbridged/peer/codec.go
+++ b/vbridged/peer/codec.go
@@ -22,44 +22,16 @@
 
 // codec frames messages with a length of four bytes. The codecs of the library accept a frame
 // of any length.
-//
-// Raw messages travel between the JSON ones: the messages of the replicated log are most of the
-// traffic, and encoding them as text inside JSON took several passes over each byte. A raw frame
-// begins with rawMark, the length of the method's name and the name.
 type codec struct {
-	// raw takes raw messages; without it they are refused.
-	raw func(method string, payload []byte)
-}
-
-// rawMark begins a raw frame; a JSON frame begins with another byte.
-const rawMark = 1
-
-// rawMessage is a message that is not encoded as JSON.
-type rawMessage struct {
-	method  string
-	payload []byte
-}
-
-func (m rawMessage) encode() []byte {
-	data := make([]byte, 0, 2+len(m.method)+len(m.payload))
-	data = append(data, rawMark, byte(len(m.method)))
-	data = append(data, m.method...)
-	return append(data, m.payload...)
-}
-
-func decodeRaw(data []byte) (rawMessage, error) {
-	if len(data) < 2 || len(data) < 2+int(data[1]) {
-		return rawMessage{}, fault.Wrap(fault.ErrCorrupt, "raw message of %d bytes", len(data))
-	}
-	n := 2 + int(data[1])
-	return rawMessage{method: string(data[2:n]), payload: data[n:]}, nil
+	// raw takes raw frames; without it they are refused.
+	raw func(rawFrame) error
 }
 
 // WriteObject writes one frame with a single write, so that it leaves in one segment.
 func (codec) WriteObject(w io.Writer, obj any) error {
 	var data []byte
 	var err error
-	if raw, ok := obj.(rawMessage); ok {
+	if raw, ok := obj.(rawFrame); ok {
 		data = raw.encode()
 	} else if data, err = json.Marshal(obj); err != nil {
 		return fmt.Errorf("encode message: %w", err)
@@ -80,7 +52,7 @@
 		if err != nil {
 			return err
 		}
-		if len(data) == 0 || data[0] != rawMark {
+		if !isRaw(data) {
 			if err := json.Unmarshal(data, v); err != nil {
 				return fault.Wrap(fault.ErrCorrupt, "decode message: %v", err)
 			}
@@ -93,7 +65,9 @@
 		if c.raw == nil {
 			return fault.Wrap(fault.ErrInvalid, "raw message %q is not expected", m.method)
 		}
-		c.raw(m.method, m.payload)
+		if err := c.raw(m); err != nil {
+			return err
+		}
 	}
 }
 
--- a/vbridged/peer/link.go
+++ b/vbridged/peer/link.go
@@ -41,7 +41,10 @@
 	cancel context.CancelFunc
 
 	mu      sync.Mutex
-	current *jsonrpc2.Conn // nil while the connection is down
+	current *jsonrpc2.Conn           // nil while the connection is down
+	stream  jsonrpc2.ObjectStream    // of the connection, for raw calls
+	number  uint64                   // of the last raw call
+	calls   map[uint64]chan rawReply // raw calls in progress
 }
 
 type message struct {
@@ -53,7 +56,7 @@
 
 func newLink(n *Net, to Address) *link {
 	ctx, cancel := context.WithCancel(n.ctx)
-	return &link{net: n, to: to, queue: make(chan message, queueLength), ctx: ctx, cancel: cancel}
+	return &link{net: n, to: to, queue: make(chan message, queueLength), calls: map[uint64]chan rawReply{}, ctx: ctx, cancel: cancel}
 }
 
 // run keeps one connection up until the Net closes.
@@ -67,8 +70,10 @@
 			continue
 		}
 		l.set(c)
+		l.setStream(stream)
 		l.serve(c, stream)
 		l.set(nil)
+		l.setStream(nil)
 		_ = c.Close()
 	}
 }
@@ -86,7 +91,7 @@
 	crosses := l.net.crosses(l.to.Region)
 	count := func(sent, received int) { l.net.bytes.wire(crosses, sent, received) }
 	timed := timedConn{Conn: raw, read: readTimeout, write: writeTimeout, count: count}
-	stream := jsonrpc2.NewBufferedStream(timed, codec{})
+	stream := jsonrpc2.NewBufferedStream(timed, codec{raw: l.take})
 	c := jsonrpc2.NewConn(l.ctx, stream, refuse{}, append(l.net.stampOptions(), jsonrpc2.SetLogger(quiet{}))...)
 	h := hello{Instance: l.net.self.Instance, Region: l.net.self.Region}
 	if err := c.Call(ctx, methodHello, h, nil); err != nil {
@@ -123,7 +128,7 @@
 			var err error
 			if m.isRaw {
 				// The stream orders its writes, so raw messages may go between those of the connection.
-				err = stream.WriteObject(rawMessage{method: m.method, payload: m.raw})
+				err = stream.WriteObject(rawFrame{mark: rawMark, method: m.method, payload: m.raw})
 			} else {
 				err = c.Notify(l.ctx, m.method, m.params)
 			}
--- a/vbridged/peer/net.go
+++ b/vbridged/peer/net.go
@@ -58,6 +58,7 @@
 	serving  bool
 	handlers map[string]Handler
 	raws     map[string]RawHandler
+	servers  map[string]RawServer
 	listener net.Listener
 	accepted map[*jsonrpc2.Conn]struct{}
 }
@@ -77,6 +78,7 @@
 		cancel:   cancel,
 		handlers: map[string]Handler{},
 		raws:     map[string]RawHandler{},
+		servers:  map[string]RawServer{},
 		accepted: map[*jsonrpc2.Conn]struct{}{},
 	}
 	for _, a := range others {
@@ -238,15 +240,17 @@
 	if n.tls != nil {
 		raw = tls.Server(raw, n.tls.Server())
 	}
-	s := &session{net: n}
+	ctx, cancel := context.WithCancel(n.ctx)
+	s := &session{net: n, ctx: ctx}
 	timed := timedConn{Conn: raw, read: readTimeout, write: writeTimeout, count: s.count}
-	stream := jsonrpc2.NewBufferedStream(timed, codec{raw: s.raw})
-	conn := jsonrpc2.NewConn(n.ctx, stream, s, append(n.stampOptions(), jsonrpc2.SetLogger(quiet{}))...)
+	s.stream = jsonrpc2.NewBufferedStream(timed, codec{raw: s.take})
+	conn := jsonrpc2.NewConn(n.ctx, s.stream, s, append(n.stampOptions(), jsonrpc2.SetLogger(quiet{}))...)
 	n.mu.Lock()
 	n.accepted[conn] = struct{}{}
 	n.mu.Unlock()
 	go func() {
 		<-conn.DisconnectNotify()
+		cancel()
 		n.mu.Lock()
 		delete(n.accepted, conn)
 		n.mu.Unlock()
--- a/vbridged/peer/net_test.go
+++ b/vbridged/peer/net_test.go
@@ -41,6 +41,11 @@
 	b := peer.New(two, []peer.Address{one}, nil, second)
 	for method, h := range handlers {
 		b.Handle(method, h)
+		b.ServeRaw(method, func(ctx context.Context, from model.Instance, payload []byte) ([]byte, error) {
+			result, err := h(ctx, from, payload)
+			data, _ := json.Marshal(result)
+			return data, err
+		})
 	}
 	a.Serve(l)
 	b.Serve(k)
@@ -75,12 +80,13 @@
 	if err := a.Call(ctx, "two", "echo", "hi", &got); err != nil || got.From != "one" || got.Text != `"hi"` {
 		t.Errorf("echo answered %+v, %v", got, err)
 	}
-	for method, want := range map[string]error{
+	wants := map[string]error{
 		"conflict": fault.ErrConflict,
 		"plain":    fault.ErrUnknown,
 		"missing":  fault.ErrUnavailable,
 		"large":    fault.ErrTooLarge,
-	} {
+	}
+	for method, want := range wants {
 		if err := a.Call(ctx, "two", method, nil, nil); !errors.Is(err, want) {
 			t.Errorf("call %s: %v, want %v", method, err, want)
 		}
@@ -88,6 +94,17 @@
 	if err := a.Call(ctx, "three", "echo", nil, nil); !errors.Is(err, fault.ErrUnavailable) {
 		t.Errorf("call of a peer that is not in the settings: %v, want %v", err, fault.ErrUnavailable)
 	}
+	if data, err := a.CallRaw(ctx, "two", "echo", []byte("hi")); err != nil || string(data) != `{"From":"one","Text":"hi"}` {
+		t.Errorf("raw echo answered %s, %v", data, err)
+	}
+	for method, want := range wants {
+		if _, err := a.CallRaw(ctx, "two", method, nil); !errors.Is(err, want) {
+			t.Errorf("raw call %s: %v, want %v", method, err, want)
+		}
+	}
+	if _, err := a.CallRaw(ctx, "three", "echo", nil); !errors.Is(err, fault.ErrUnavailable) {
+		t.Errorf("raw call of a peer that is not in the settings: %v, want %v", err, fault.ErrUnavailable)
+	}
 	_, across := a.Bytes().Wire()
 	if across.Sent == 0 || across.Received == 0 {
 		t.Errorf("bytes across regions = %+v, want some in both directions", across)
@@ -142,3 +159,41 @@
 		t.Errorf("lost answer: %v, want %v", err, fault.ErrUnknown)
 	}
 }
+
+// Guards against a raw call that waits for its deadline, or reports "no effect", when the peer goes
+// away after it was sent.
+func TestLostRawAnswerIsUnknown(t *testing.T) {
+	entered := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	two := peer.Address{Instance: "two", Peer: l.Addr().String()}
+	a, b := peer.New(peer.Address{Instance: "one"}, []peer.Address{two}, nil, nil), peer.New(two, nil, nil, nil)
+	b.ServeRaw("block", func(ctx context.Context, _ model.Instance, _ []byte) ([]byte, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	k, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Serve(k)
+	b.Serve(l)
+	t.Cleanup(a.Close)
+	for !a.IsReached("two") {
+		time.Sleep(time.Millisecond)
+	}
+	go func() {
+		<-entered
+		b.Close()
+	}()
+	began := time.Now()
+	if _, err := a.CallRaw(t.Context(), "two", "block", nil); !errors.Is(err, fault.ErrUnknown) {
+		t.Errorf("lost answer: %v, want %v", err, fault.ErrUnknown)
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("a lost answer was noticed after %s", took)
+	}
+}
--- a/vbridged/peer/session.go
+++ b/vbridged/peer/session.go
@@ -26,8 +26,10 @@
 
 // session is the accepting side of one connection.
 type session struct {
-	net  *Net
-	from atomic.Pointer[hello]
+	net    *Net
+	ctx    context.Context // ends with the connection
+	stream jsonrpc2.ObjectStream
+	from   atomic.Pointer[hello]
 }
 
 // Handle answers one request in a goroutine of its own, but for notifications, which keep
@@ -56,15 +58,14 @@
 	_ = c.Reply(ctx, r.ID, data)
 }
 
-// raw hands a raw message over, once the peer has named itself.
-func (s *session) raw(method string, payload []byte) {
-	from := s.from.Load()
-	h, ok := s.net.rawHandler(method)
-	if from == nil || !ok {
-		klog.V(1).InfoS("raw message dropped", "method", method, "named", from != nil)
+// raw hands a raw message that has no answer over.
+func (s *session) raw(from model.Instance, m rawFrame) {
+	h, ok := s.net.rawHandler(m.method)
+	if !ok {
+		klog.V(1).InfoS("raw message dropped", "method", m.method, "from", from)
 		return
 	}
-	h(from.Instance, payload)
+	h(from, m.payload)
 }
 
 // encodeResult encodes an answer before the connection is locked for sending it, so that a
