--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -105,5 +105,5 @@
 	// collectors bounds the gangs for which room is kept free at one time, and collectWorkers is the
 	// number of workers for each one more.
 	collectors     = 2
-	collectWorkers = 60
+	collectWorkers = 25
 )
