plan: tasks without progress are stopped and start elsewhere

A worker that answers while its tasks stand still looked idle between its holds, drew new work, and kept what it had until it recovered (users: seat hold checks hung while the executor answered healthy). A task without progress for 1.5 s or a twentieth of its estimate counts as a failure of its worker and is stopped; a gang after 3 s, without blame, because all members wait for the stuck one. TestStuckTasksStartElsewhere fails without the check: its jobs run for ever.

--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -14,6 +14,36 @@
 	suspendMost  = 30 * clock.Second
 )
 
+// Tasks that stand still count as failures of their worker and start again elsewhere. Workers
+// report progress in percent, at least every holdWait, so stallPart of a task's estimate must show.
+const (
+	// stallTime covers the time that a task needs to resume from a checkpoint.
+	stallTime = 1500 * clock.Millisecond
+	stallPart = 20
+	// gangStall is longer: a gang stands still while one of its members is on the way.
+	gangStall = 3 * clock.Second
+)
+
+// checkStall stops a task whose progress has not changed for too long.
+func (p *Planner) checkStall(t *task) {
+	shape := t.phase.shape
+	limit := max(stallTime, shape.Estimate/stallPart)
+	if shape.Gang {
+		limit = max(gangStall, limit)
+	}
+	if shape.Lasting || shape.Fills || t.stop != "" || t.stage != running || p.now-t.movedAt < limit {
+		return
+	}
+	if shape.Gang {
+		// Which member is stuck doesn't show, because all of them wait for it.
+		p.stopTask(t, "no progress")
+		p.breakGang(t, "no progress")
+		return
+	}
+	p.blame(t, "no progress")
+	p.stopTask(t, "no progress")
+}
+
 // health is what a worker's recent ends say about it.
 type health struct {
 	// failing holds the jobs that failed since the last success.
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -453,3 +453,28 @@
 		t.Errorf("%d calls to a caller that is down in 4.5 s, want at most 5", w.badAsks)
 	}
 }
+
+// Guards against tasks that wait for ever on a worker that answers but makes no progress, and against
+// such a worker that draws new work because it looks idle.
+func TestStuckTasksStartElsewhere(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(queue("/a/"))
+	w.lead()
+	for i := range 4 {
+		w.addWorker(fmt.Sprintf("w%d", i), worker).hung = i == 0
+	}
+	w.run(500)
+	for i := range 60 {
+		w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 2, Need: small, Estimate: 500, Gang: i%10 == 0})
+		w.run(100)
+	}
+	w.run(20 * clock.Second)
+	w.wantDone()
+	extra := 0
+	for _, n := range w.starts {
+		extra += n - 1
+	}
+	if extra > 20 {
+		t.Fatalf("120 tasks had %d runs that stood still, want at most 20", extra)
+	}
+}
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -77,7 +77,9 @@
 	}
 	if r.Percent != t.percent {
 		t.percent, t.movedAt = r.Percent, p.now
+		return
 	}
+	p.checkStall(t)
 }
 
 // seen notes which ends may be acknowledged once the settlement of this step is committed.
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -82,6 +82,7 @@
 	skew    clock.Millis
 	up, cut bool
 	near    bool // next to the leader
+	hung    bool // what it starts stands still
 	fence   uint64
 	until   clock.Millis // lease, on the worker's clock
 	runs    map[string]*fakeRun
@@ -256,6 +257,13 @@
 	return f
 }
 
+func (f *fake) progress(now clock.Millis, r *fakeRun) int {
+	if f.hung {
+		return 0
+	}
+	return int(now - r.began)
+}
+
 func (f *fake) transit() clock.Millis {
 	if f.near {
 		return 1
@@ -457,6 +465,9 @@
 
 func (w *world) begin(f *fake, r *fakeRun) {
 	r.working = true
+	if f.hung {
+		return
+	}
 	took, failed := w.work(r.task, f)
 	w.after(took, func() {
 		end := ledger.EndDone
@@ -597,7 +608,7 @@
 	rep := plan.Reported{Worker: l, Sent: sent, Clock: w.clockOf(f), Finished: slices.Clone(f.ends)}
 	for _, k := range sortedKeys(f.runs) {
 		r := f.runs[k]
-		rep.Running = append(rep.Running, plan.Running{Task: r.task, Attempt: r.attempt, Percent: int(w.now - r.began)})
+		rep.Running = append(rep.Running, plan.Running{Task: r.task, Attempt: r.attempt, Percent: f.progress(w.now, r)})
 	}
 	w.after(f.transit(), func() {
 		rep.Got = w.now
