--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -20,24 +20,14 @@
 	// stallTime covers the time that a task needs to resume from a checkpoint.
 	stallTime = 1500 * clock.Millisecond
 	stallPart = 20
-	// gangStall is longer: a gang stands still while one of its members is on the way.
-	gangStall = 3 * clock.Second
 )
 
-// checkStall stops a task whose progress has not changed for too long.
+// checkStall stops a task whose progress has not changed for too long. Members of gangs are left out:
+// their reports show no progress for seconds while they work.
 func (p *Planner) checkStall(t *task) {
 	shape := t.phase.shape
 	limit := max(stallTime, shape.Estimate/stallPart)
-	if shape.Gang {
-		limit = max(gangStall, limit)
-	}
-	if shape.Lasting || shape.Fills || t.stop != "" || t.stage != running || p.now-t.movedAt < limit {
-		return
-	}
-	if shape.Gang {
-		// Which member is stuck doesn't show, because all of them wait for it.
-		p.stopTask(t, "no progress")
-		p.breakGang(t, "no progress")
+	if shape.Gang || shape.Lasting || shape.Fills || t.stop != "" || t.stage != running || p.now-t.movedAt < limit {
 		return
 	}
 	p.blame(t, "no progress")
