--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -95,6 +95,10 @@
 		return
 	}
 	t.stop = reason
+	p.note(Note{
+		Event: "task stopped", Job: t.name.Job, Task: t.name.String(), Attempt: t.number,
+		Worker: t.worker.ID, Cause: reason, Age: p.now - t.sentAt,
+	})
 	if t.stage == assigning {
 		return // the order follows the commit, or the assignment is given up then
 	}
