plan: a stuck member of a gang is found, one that has done its part is not taken for stuck

A trial logged the members of the gangs that were stopped: the slowest was at 80 to 97 percent and moving, the others stood at 100 and waited for it. So the earlier reason (reports show no progress while gangs work) was wrong: members at 100 percent are left out, and gangs are checked again.

--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -20,18 +20,26 @@
 	// stallTime covers the time that a task needs to resume from a checkpoint.
 	stallTime = 1500 * clock.Millisecond
 	stallPart = 20
+	// gangStall is longer: a gang stands still while one of its members is on the way.
+	gangStall = 3 * clock.Second
 )
 
-// checkStall stops a task whose progress has not changed for too long. Members of gangs are left out:
-// their reports show no progress for seconds while they work.
+// checkStall stops a task whose progress has not changed for too long. A member of a gang that has done
+// its own part stays at 100 percent until the slowest one has.
 func (p *Planner) checkStall(t *task) {
 	shape := t.phase.shape
 	limit := max(stallTime, shape.Estimate/stallPart)
-	if shape.Gang || shape.Lasting || shape.Fills || t.stop != "" || t.stage != running || p.now-t.movedAt < limit {
+	if shape.Gang {
+		limit = max(limit, gangStall)
+	}
+	if shape.Lasting || shape.Fills || t.stop != "" || t.stage != running || t.percent >= 100 || p.now-t.movedAt < limit {
 		return
 	}
-	p.blame(t, "no progress")
+	if !shape.Gang || t.percent > 0 {
+		p.blame(t, "no progress") // at 0 percent a gang may wait for a member on another worker
+	}
 	p.stopTask(t, "no progress")
+	p.breakGang(t, "a member makes no progress")
 }
 
 // health is what a worker's recent ends say about it.
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -465,7 +465,7 @@
 	}
 	w.run(500)
 	for i := range 60 {
-		w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 2, Need: small, Estimate: 500})
+		w.submit("/a/", fmt.Sprintf("%016x", i), flow.Step{Count: 2, Need: small, Estimate: 500, Gang: i%10 == 0})
 		w.run(100)
 	}
 	w.run(20 * clock.Second)
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -261,7 +261,9 @@
 	if f.hung {
 		return 0
 	}
-	return int(now - r.began)
+	// The length of the work is not known here; what counts is that the figure rises and stays under 100.
+	elapsed := int(now - r.began)
+	return elapsed * 100 / (elapsed + 1000)
 }
 
 func (f *fake) transit() clock.Millis {
