--- a/vbridged/fleet/roster.go
+++ b/vbridged/fleet/roster.go
@@ -86,14 +86,6 @@
 	return list
 }
 
-// find returns a member.
-func (r *roster) find(name model.Instance) (Member, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m, ok := r.members[name]
-	return m, ok
-}
-
 // present returns the instances that announced themselves lately.
 func (r *roster) present(now clock.Millis) []model.Instance {
 	r.mu.Lock()
