plan: calls without an answer renew no lease

Each hold that failed still moved the end of the lease that its tasks might have, so they never counted as over, and a gang with two members there waited for ever (lines: hold failed every 650 ms, no task ended). Ruled out: the check for stuck tasks, the room. Now a worker that doesn't answer is asked without a new lease until it does (TestSilentWorkerLosesItsTasks fails before: the job never ends).

--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -478,3 +478,24 @@
 		t.Fatalf("120 tasks had %d runs that stood still, want at most 20", extra)
 	}
 }
+
+// Guards against a worker that vanishes without refusing connections and keeps its tasks for ever:
+// each call to it that had no answer renewed the lease after which they count as over.
+func TestSilentWorkerLosesItsTasks(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config(queue("/a/"))
+	w.lead()
+	a, b := w.addWorker("w0", worker), w.addWorker("w1", worker)
+	w.work = func(flow.Task, *fake) (clock.Millis, bool) { return 2 * clock.Second, false }
+	w.run(500)
+	w.submit("/a/", "gang", flow.Step{Count: 8, Need: small, Estimate: 2000, Gang: true})
+	w.run(clock.Second)
+	if len(a.runs) != 4 || len(b.runs) != 4 {
+		t.Fatalf("%d and %d members run, want 4 on each worker", len(a.runs), len(b.runs))
+	}
+	a.cut = true
+	w.addWorker("w2", worker)
+	// The lease, 2% longer for the worker's clock, and then the work again.
+	w.run(lease*102/100 + clock.Second + 2*clock.Second + clock.Second)
+	w.wantDone()
+}
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -18,7 +18,7 @@
 	if w == nil {
 		return
 	}
-	w.refused = 0
+	w.refused, w.silent = 0, false
 	w.holdDue = now + holdGap
 	if !w.known {
 		w.known = true
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -35,9 +35,11 @@
 	// seen is the highest end that was taken in, committed the highest that is committed.
 	seen, committed int64
 	refused         int
-	since           clock.Millis // of the life, on the leader's clock
-	holdDue         clock.Millis
-	health          health
+	// silent says that the last hold had no answer.
+	silent  bool
+	since   clock.Millis // of the life, on the leader's clock
+	holdDue clock.Millis
+	health  health
 	// grew is the pass from which on it may have more room; wasOpen is its state in the last pass.
 	grew    uint64
 	wasOpen bool
@@ -60,7 +62,7 @@
 
 // hasLapsed reports whether the lease of all that the worker runs has surely ended.
 func (w *worker) hasLapsed(now clock.Millis) bool {
-	if !w.known {
+	if !w.known || w.silent {
 		return now >= w.quiet
 	}
 	passed := (now - w.seenAt) * (100 - driftPercent) / 100
@@ -141,7 +143,7 @@
 			p.propose(ledger.Dismiss{ID: w.ID, Born: w.Born})
 		}
 	case FailureSilent:
-		w.refused = 0
+		w.refused, w.silent = 0, true
 	}
 }
 
@@ -174,7 +176,9 @@
 		return Hold{}, w.holdDue - now, true
 	}
 	h = Hold{Worker: w.Worker, Seen: w.committed}
-	if !w.known {
+	if !w.known || w.silent {
+		// A worker that doesn't answer is asked without a new lease: it may get the call all the same,
+		// and with ever new leases its tasks would never be surely over.
 		return h, 0, true
 	}
 	h.Wait = holdWait
