--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -488,13 +488,12 @@
 	a, b := w.addWorker("w0", worker), w.addWorker("w1", worker)
 	w.work = func(flow.Task, *fake) (clock.Millis, bool) { return 2 * clock.Second, false }
 	w.run(500)
-	w.submit("/a/", "gang", flow.Step{Count: 8, Need: small, Estimate: 2000, Gang: true})
+	w.submit("/a/", "job", flow.Step{Count: 8, Need: small, Estimate: 2000})
 	w.run(clock.Second)
 	if len(a.runs) != 4 || len(b.runs) != 4 {
-		t.Fatalf("%d and %d members run, want 4 on each worker", len(a.runs), len(b.runs))
+		t.Fatalf("%d and %d tasks run, want 4 on each worker", len(a.runs), len(b.runs))
 	}
-	a.cut = true
-	w.addWorker("w2", worker)
+	a.up, a.vanish = false, true
 	// The lease, 2% longer for the worker's clock, and then the work again.
 	w.run(lease*102/100 + clock.Second + 2*clock.Second + clock.Second)
 	w.wantDone()
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -62,7 +62,7 @@
 
 // hasLapsed reports whether the lease of all that the worker runs has surely ended.
 func (w *worker) hasLapsed(now clock.Millis) bool {
-	if !w.known || w.silent {
+	if !w.known {
 		return now >= w.quiet
 	}
 	passed := (now - w.seenAt) * (100 - driftPercent) / 100
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -83,6 +83,7 @@
 	up, cut bool
 	near    bool // next to the leader
 	hung    bool // what it starts stands still
+	vanish  bool // once it is down, calls get no answer instead of being refused
 	fence   uint64
 	until   clock.Millis // lease, on the worker's clock
 	runs    map[string]*fakeRun
@@ -562,11 +563,11 @@
 		unreached(2*transit, plan.FailureOther)
 		return
 	}
-	if !f.up {
+	if !f.up && !f.vanish {
 		unreached(2*transit, plan.FailureRefused)
 		return
 	}
-	if f.cut || w.rng.Float64() < w.lose {
+	if f.cut || !f.up || w.rng.Float64() < w.lose {
 		unreached(h.Wait+600, plan.FailureSilent)
 		return
 	}
