--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -230,11 +230,7 @@
 	}
 	w.run(20 * clock.Second)
 	w.wantDone()
-	extra := 0
-	for _, n := range w.starts {
-		extra += n - 1
-	}
-	if extra > 20 {
+	if extra := w.repeats(); extra > 20 {
 		t.Fatalf("200 tasks had %d failed runs on the bad worker, want at most 20", extra)
 	}
 }
@@ -475,11 +471,7 @@
 	}
 	w.run(20 * clock.Second)
 	w.wantDone()
-	extra := 0
-	for _, n := range w.starts {
-		extra += n - 1
-	}
-	if extra > 20 {
+	if extra := w.repeats(); extra > 20 {
 		t.Fatalf("120 tasks had %d runs that stood still, want at most 20", extra)
 	}
 }
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -641,6 +641,15 @@
 	})
 }
 
+// repeats counts the starts of tasks beyond their first.
+func (w *world) repeats() int {
+	extra := 0
+	for _, n := range w.starts {
+		extra += n - 1
+	}
+	return extra
+}
+
 // wantDone fails the test unless all jobs are completed.
 func (w *world) wantDone() {
 	w.t.Helper()
