Orders to a worker go one at a time within a budget of descriptors

Cause: the leader opened up to 32 connections to each of 1,100 workers, ran out of descriptors, and took each order that got none for one that may have been carried out. Change: core/outbox queues orders by worker, stops first, one in progress each, bounded in all by the order share of the descriptors; an order that waits too long, is withdrawn by a stop or gets no connection is "not sent", which is certain: its capacity is free at once and its worker gets nothing until it reports. Holds have a share of their own; with more workers than connections they poll and close them. Ruled out: a bound of connections alone, whose calls fail when orders meet (the product of two numbers that grow). Tests: the property of core/outbox found a lane that was listed twice while it was written.

--- /dev/null
+++ b/core/outbox/budget.go
@@ -0,0 +1,35 @@
+package outbox
+
+// Budget divides the descriptors of a process among its uses, so that none of them can use up those
+// of the others.
+type Budget struct {
+	// Inbound is the number of connections accepted from operators and workers.
+	Inbound int
+	// Holds and Orders are the numbers of connections to workers, for holds and for orders.
+	Holds, Orders int
+}
+
+// Shares of the descriptors in percent. The rest is for connections with other instances, files and
+// the ticket service.
+const (
+	inboundPercent = 20
+	holdsPercent   = 35
+	ordersPercent  = 30
+)
+
+// unlimitedDescriptors is the budget of a process without a known limit.
+const unlimitedDescriptors = 1 << 16
+
+// DivideDescriptors returns the budget of a process that may have this many descriptors open, or an
+// ample one if the number is not known.
+func DivideDescriptors(descriptors int) Budget {
+	if descriptors <= 0 {
+		descriptors = unlimitedDescriptors
+	}
+	share := func(percent int) int { return max(1, descriptors*percent/100) }
+	return Budget{Inbound: share(inboundPercent), Holds: share(holdsPercent), Orders: share(ordersPercent)}
+}
+
+// KeepsConnections reports whether the connections to this many workers can stay open between calls:
+// one for the hold and one for orders each.
+func (b Budget) KeepsConnections(workers int) bool { return workers <= min(b.Holds, b.Orders) }
--- /dev/null
+++ b/core/outbox/outbox.go
@@ -0,0 +1,162 @@
+package outbox
+
+import (
+	"slices"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+)
+
+// Order is an order for a worker. Its payload is opaque to the outbox.
+type Order[P any] struct {
+	Worker model.WorkerID
+	// Key identifies what the order is about. An urgent order withdraws the waiting orders with its key.
+	Key string
+	// Urgent orders are sent before the others of their worker: stops free capacity that starts need.
+	Urgent bool
+	// SendBefore is the time from which on the order is no longer sent.
+	SendBefore clock.Millis
+	Payload    P
+}
+
+// Outbox holds the orders that wait to be sent. It is not safe for concurrent use.
+type Outbox[P any] struct {
+	maxInProgress int
+	inProgress    int
+	lanes         map[model.WorkerID]*lane[P]
+	// ready holds the workers with a waiting order and none in progress, those that wait longest first.
+	ready   []model.WorkerID
+	waiting int
+	unsent  []Order[P] // expired or withdrawn since the last call of TakeUnsent
+}
+
+// lane holds the orders of one worker.
+type lane[P any] struct {
+	urgent, normal []Order[P]
+	busy           bool // an order is in progress
+	queued         bool // listed in Outbox.ready
+}
+
+// New returns an outbox that has at most maxInProgress orders in progress.
+func New[P any](maxInProgress int) *Outbox[P] {
+	return &Outbox[P]{maxInProgress: max(maxInProgress, 1), lanes: map[model.WorkerID]*lane[P]{}}
+}
+
+// Waiting returns the number of orders that wait to be sent.
+func (o *Outbox[P]) Waiting() int { return o.waiting }
+
+// InProgress returns the number of orders that were sent and are not finished.
+func (o *Outbox[P]) InProgress() int { return o.inProgress }
+
+// Add adds an order.
+func (o *Outbox[P]) Add(order Order[P]) {
+	l := o.lanes[order.Worker]
+	if l == nil {
+		l = &lane[P]{}
+		o.lanes[order.Worker] = l
+	}
+	if order.Urgent {
+		l.normal = o.withdraw(l.normal, func(other Order[P]) bool { return other.Key == order.Key })
+	}
+	if order.Urgent {
+		l.urgent = append(l.urgent, order)
+	} else {
+		l.normal = append(l.normal, order)
+	}
+	o.waiting++
+	o.enqueue(order.Worker, l)
+}
+
+// Next returns the next order to send, and marks it as in progress until Finish is called. It reports
+// false if no order may be sent now.
+func (o *Outbox[P]) Next(now clock.Millis) (Order[P], bool) {
+	for len(o.ready) > 0 && o.inProgress < o.maxInProgress {
+		id := o.ready[0]
+		o.ready = o.ready[1:]
+		l := o.lanes[id]
+		l.queued = false
+		o.expireLane(now, l)
+		if l.isEmpty() {
+			delete(o.lanes, id)
+			continue
+		}
+		l.busy = true
+		o.inProgress++
+		o.waiting--
+		return l.pop(), true
+	}
+	return Order[P]{}, false
+}
+
+// Finish ends the order in progress of a worker.
+func (o *Outbox[P]) Finish(id model.WorkerID) {
+	l := o.lanes[id]
+	if l == nil || !l.busy {
+		return
+	}
+	l.busy = false
+	o.inProgress--
+	if l.isEmpty() {
+		delete(o.lanes, id)
+		return
+	}
+	o.enqueue(id, l)
+}
+
+// enqueue lists a lane as ready unless it is listed already or an order is in progress.
+func (o *Outbox[P]) enqueue(id model.WorkerID, l *lane[P]) {
+	if l.busy || l.queued {
+		return
+	}
+	l.queued = true
+	o.ready = append(o.ready, id)
+}
+
+// Expire withdraws all orders that have waited too long.
+func (o *Outbox[P]) Expire(now clock.Millis) {
+	if o.waiting == 0 {
+		return
+	}
+	for _, l := range o.lanes {
+		o.expireLane(now, l)
+	}
+}
+
+// TakeUnsent returns the orders that expired or were withdrawn since the last call. It is certain that
+// they were not sent.
+func (o *Outbox[P]) TakeUnsent() []Order[P] {
+	unsent := o.unsent
+	o.unsent = nil
+	return unsent
+}
+
+func (o *Outbox[P]) expireLane(now clock.Millis, l *lane[P]) {
+	hasExpired := func(order Order[P]) bool { return now >= order.SendBefore }
+	l.urgent = o.withdraw(l.urgent, hasExpired)
+	l.normal = o.withdraw(l.normal, hasExpired)
+}
+
+// withdraw removes the matching orders from a list.
+func (o *Outbox[P]) withdraw(list []Order[P], match func(Order[P]) bool) []Order[P] {
+	return slices.DeleteFunc(list, func(order Order[P]) bool {
+		if !match(order) {
+			return false
+		}
+		o.waiting--
+		o.unsent = append(o.unsent, order)
+		return true
+	})
+}
+
+func (l *lane[P]) isEmpty() bool { return len(l.urgent) == 0 && len(l.normal) == 0 }
+
+// pop removes the next order of a lane that is not empty.
+func (l *lane[P]) pop() Order[P] {
+	list := &l.urgent
+	if len(*list) == 0 {
+		list = &l.normal
+	}
+	order := (*list)[0]
+	*list = (*list)[1:]
+	return order
+}
--- /dev/null
+++ b/core/outbox/outbox_test.go
@@ -0,0 +1,167 @@
+package outbox_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/model"
+	"vanillabridge/core/outbox"
+)
+
+type order = outbox.Order[int]
+
+func drain(o *outbox.Outbox[int], now clock.Millis) []int {
+	var list []int
+	for {
+		next, ok := o.Next(now)
+		if !ok {
+			return list
+		}
+		list = append(list, next.Payload)
+	}
+}
+
+func payloads(list []order) []int {
+	var out []int
+	for _, x := range list {
+		out = append(out, x.Payload)
+	}
+	return out
+}
+
+// Guards against orders to one worker that overtake each other on several connections: they are sent
+// one at a time, stops first.
+func TestOrdersOfOneWorkerAreSentInSequence(t *testing.T) {
+	o := outbox.New[int](10)
+	o.Add(order{Worker: "a", Key: "1", SendBefore: 100, Payload: 1})
+	o.Add(order{Worker: "a", Key: "2", SendBefore: 100, Payload: 2})
+	o.Add(order{Worker: "b", Key: "3", SendBefore: 100, Payload: 3})
+	o.Add(order{Worker: "a", Key: "4", Urgent: true, SendBefore: 100, Payload: 4})
+	var got [][]int
+	for range 4 {
+		got = append(got, drain(o, 0))
+		o.Finish("a")
+		o.Finish("b")
+	}
+	if diff := cmp.Diff([][]int{{4, 3}, {1}, {2}, nil}, got); diff != "" {
+		t.Errorf("orders sent, by round (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a start that is sent although its attempt was stopped, and against starts that a
+// silent worker holds up until they are useless: both are certain not to have been sent.
+func TestStoppedAndExpiredOrdersAreNotSent(t *testing.T) {
+	o := outbox.New[int](10)
+	o.Add(order{Worker: "a", Key: "1", SendBefore: 1000, Payload: 1})
+	drain(o, 0) // the worker doesn't answer this one
+	o.Add(order{Worker: "a", Key: "2", SendBefore: 500, Payload: 2})
+	o.Add(order{Worker: "a", Key: "3", SendBefore: 1000, Payload: 3})
+	o.Add(order{Worker: "a", Key: "3", Urgent: true, SendBefore: 1000, Payload: 4})
+	if diff := cmp.Diff([]int{3}, payloads(o.TakeUnsent())); diff != "" {
+		t.Errorf("withdrawn by the stop (-want +got):\n%s", diff)
+	}
+	o.Expire(500)
+	if diff := cmp.Diff([]int{2}, payloads(o.TakeUnsent())); diff != "" {
+		t.Errorf("expired (-want +got):\n%s", diff)
+	}
+	o.Finish("a")
+	if diff := cmp.Diff([]int{4}, drain(o, 600)); diff != "" {
+		t.Errorf("sent after the answer (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against more connections than descriptors, orders that are lost or sent twice, and workers
+// that wait for ever behind others, with 1,100 workers of which some are slow or silent and room for
+// 1,024 descriptors.
+func TestOrdersAreSentOnceWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		budget := outbox.DivideDescriptors(1024)
+		o := outbox.New[int](budget.Orders)
+		const ttl = 1500
+		silent := rapid.IntRange(0, 300).Draw(rt, "silent")
+		answersAt := map[clock.Millis][]model.WorkerID{}
+		outcome := map[int]string{}
+		added := 0
+		var last order
+		settle := func(list []order, how string) {
+			for _, x := range list {
+				if outcome[x.Payload] != "" {
+					rt.Fatalf("order %d is %s after it was %s", x.Payload, how, outcome[x.Payload])
+				}
+				outcome[x.Payload] = how
+			}
+		}
+		perTick := rapid.IntRange(1, 40).Draw(rt, "orders per tick")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		for now := clock.Millis(0); now < 8000; now += 20 {
+			if now < 4000 {
+				for range perTick {
+					added++
+					x := order{Worker: model.WorkerID(fmt.Sprint(rng.IntN(1100))), Key: fmt.Sprint(added), SendBefore: now + ttl, Payload: added}
+					if added%10 == 0 { // a stop of the start before
+						x.Worker, x.Key, x.Urgent = last.Worker, last.Key, true
+					}
+					o.Add(x)
+					last = x
+				}
+			}
+			for _, id := range answersAt[now] {
+				o.Finish(id)
+			}
+			o.Expire(now)
+			settle(o.TakeUnsent(), "unsent")
+			for {
+				next, ok := o.Next(now)
+				if !ok {
+					break
+				}
+				settle([]order{next}, "sent")
+				if now >= next.SendBefore {
+					rt.Fatalf("order %d is sent %d ms too late", next.Payload, now-next.SendBefore)
+				}
+				takes := clock.Millis(60)
+				if n, err := strconv.Atoi(string(next.Worker)); err != nil || n < silent {
+					takes = 600
+				}
+				answersAt[now+takes] = append(answersAt[now+takes], next.Worker)
+			}
+			settle(o.TakeUnsent(), "unsent")
+			if o.InProgress() > budget.Orders {
+				rt.Fatalf("%d orders are in progress, want at most %d", o.InProgress(), budget.Orders)
+			}
+		}
+		if len(outcome) != added || o.Waiting() != 0 || o.InProgress() != 0 {
+			rt.Fatalf("%d of %d orders are settled, %d wait and %d are in progress", len(outcome), added, o.Waiting(), o.InProgress())
+		}
+	})
+}
+
+// Guards against one use of descriptors that takes those of the others.
+func TestDescriptorsAreDivided(t *testing.T) {
+	var got []outbox.Budget
+	for _, n := range []int{0, 3, 1024, 4124} {
+		b := outbox.DivideDescriptors(n)
+		if sum := b.Inbound + b.Holds + b.Orders; n > 10 && sum > n*9/10 {
+			t.Errorf("%d descriptors: %d are given away, want a tenth left", n, sum)
+		}
+		got = append(got, b)
+	}
+	want := []outbox.Budget{
+		{Inbound: 13107, Holds: 22937, Orders: 19660},
+		{Inbound: 1, Holds: 1, Orders: 1},
+		{Inbound: 204, Holds: 358, Orders: 307},
+		{Inbound: 824, Holds: 1443, Orders: 1237},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("budgets (-want +got):\n%s", diff)
+	}
+	if !got[3].KeepsConnections(1100) || got[2].KeepsConnections(1100) {
+		t.Error("connections to 1,100 workers: want them kept with 4,124 descriptors and not with 1,024")
+	}
+}
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -96,6 +96,9 @@
 	VerdictUnhealthy
 	// VerdictInvalid means that the worker could not parse the order.
 	VerdictInvalid
+	// VerdictNotSent means that the order was certainly not sent: it waited too long for its turn, was
+	// withdrawn, or no connection could be opened.
+	VerdictNotSent
 )
 
 // OrderAnswered reports the outcome of a Start or a Stop.
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -20,7 +20,7 @@
 	if w == nil {
 		return
 	}
-	w.refusedConns, w.unresponsive = 0, false
+	w.refusedConns, w.unresponsive, w.awaitsReport = 0, false, false
 	w.nextHoldAt = now + minHoldInterval
 	if !w.hasReported {
 		w.hasReported = true
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -197,6 +197,9 @@
 		t.step.invalidateTicket(t.worker.ID)
 	case VerdictUnhealthy, VerdictInvalid, VerdictNoCapacity:
 		p.recordFailure(t, "rejected a start")
+	case VerdictNotSent:
+		// Unless the order was withdrawn, the worker is slow or silent.
+		t.worker.awaitsReport = t.worker.awaitsReport || t.stopReason == ""
 	}
 	if t.mayStillStart {
 		return
@@ -226,6 +229,8 @@
 		return "worker is not healthy"
 	case VerdictInvalid:
 		return "order not understood"
+	case VerdictNotSent:
+		return "not sent"
 	}
 	return "unknown"
 }
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -42,6 +42,8 @@
 	refusedConns                      int
 	// unresponsive is set while the last hold got no answer.
 	unresponsive bool
+	// awaitsReport is set when an order could not be sent, until the next report.
+	awaitsReport bool
 	addedAt      clock.Millis // when the planner learned of this incarnation, on the leader's clock
 	nextHoldAt   clock.Millis
 	health       health
@@ -61,7 +63,7 @@
 
 // isSchedulable reports whether the worker is reachable and may get new tasks.
 func (w *worker) isSchedulable(now clock.Millis) bool {
-	return w.hasReported && !w.Leaving && !w.lost && now-w.reportedAt <= contactTimeout && w.refusedConns == 0
+	return w.hasReported && !w.Leaving && !w.lost && now-w.reportedAt <= contactTimeout && w.refusedConns == 0 && !w.awaitsReport
 }
 
 // estimateClock returns the expected reading of the worker's clock at a time after the last report.
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -38,21 +39,24 @@
 	t       testingT
 	rng     *rand.Rand
 	now     clock.Millis
-	events  []event
+	events  eventQueue
 	lastSeq int
 	state   *ledger.State
 	planner *plan.Planner
 	term    uint64
 	workers map[model.WorkerID]*fakeWorker
 	// lostAnswerShare is the share of start orders without an answer: a third of them are carried out
-	// late, a third at once, and a third never.
+	// late, a third at once, and a third never; besides, as many are not sent.
 	lostAnswerShare float64
+	// loseStart selects start orders that are not sent; it may be nil.
+	loseStart func(plan.Start) bool
 	// taskWork returns how long a task takes, and whether it fails.
 	taskWork       func(flow.Task, *fakeWorker) (clock.Millis, bool)
 	succeeded      map[flow.Task]bool
 	restartedOn    map[flow.Task]model.WorkerID // workers that started a task after a success that is not acknowledged yet
 	ackedAt        map[flow.Task]clock.Millis   // when the success of a task was acknowledged
 	starts         map[flow.Task]int
+	byStep         map[string][]member // attempts by step, ended ones included until the next start
 	gangTimeouts   int
 	isPermitted    func(step string, id model.WorkerID) bool
 	ticketCalls    int
@@ -76,6 +80,23 @@
 	run func()
 }
 
+// eventQueue is a heap of events, the earliest first.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
 // fakeWorker simulates one incarnation of a worker.
 type fakeWorker struct {
 	flow.Worker
@@ -102,11 +123,22 @@
 	ended     bool
 }
 
+// member is an attempt of a task of a step on a worker.
+type member struct {
+	f *fakeWorker
+	r *fakeAttempt
+}
+
+// members returns the attempts of a task's step that have not ended.
+func (sim *simulation) members(t flow.Task) []member {
+	return slices.DeleteFunc(slices.Clone(sim.byStep[t.StepName()]), func(m member) bool { return m.r.ended || !m.f.alive })
+}
+
 func newSimulation(t testingT, seed uint64) *simulation {
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1_000_000, state: ledger.New(),
 		workers: map[model.WorkerID]*fakeWorker{}, succeeded: map[flow.Task]bool{}, restartedOn: map[flow.Task]model.WorkerID{}, ackedAt: map[flow.Task]clock.Millis{},
-		starts: map[flow.Task]int{}, endedAt: map[model.JobID]clock.Millis{}, ticketCallTime: 40,
+		starts: map[flow.Task]int{}, byStep: map[string][]member{}, endedAt: map[model.JobID]clock.Millis{}, ticketCallTime: 40,
 		steps: map[model.JobID][]flow.Step{}, callers: []model.Instance{"a", "b", "c"},
 	}
 	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 500, false }
@@ -116,27 +148,17 @@
 
 func (sim *simulation) after(d clock.Millis, run func()) {
 	sim.lastSeq++
-	sim.events = append(sim.events, event{sim.now + d, sim.lastSeq, run})
+	heap.Push(&sim.events, event{sim.now + d, sim.lastSeq, run})
 }
 
 // run advances the time and runs the events that become due.
 func (sim *simulation) run(d clock.Millis) {
 	end := sim.now + d
 	for {
-		if len(sim.events) == 0 {
-			break
-		}
-		first := 0
-		for i, e := range sim.events {
-			if cmp.Or(cmp.Compare(e.at, sim.events[first].at), cmp.Compare(e.seq, sim.events[first].seq)) < 0 {
-				first = i
-			}
-		}
-		next := sim.events[first]
-		if next.at > end {
+		if len(sim.events) == 0 || sim.events[0].at > end {
 			break
 		}
-		sim.events = slices.Delete(sim.events, first, first+1)
+		next := heap.Pop(&sim.events).(event)
 		sim.now = max(sim.now, next.at)
 		next.run()
 	}
@@ -297,8 +319,15 @@
 			sim.step(term, plan.OrderAnswered{Worker: plan.Incarnation{ID: d.Worker.ID, StartedAt: d.Worker.StartedAt}, Task: d.Task, Attempt: d.Attempt, Verdict: v, Clock: at})
 		})
 	}
+	if sim.loseStart != nil && sim.loseStart(d) {
+		sim.after(1, func() { answer(plan.VerdictNotSent, 0) })
+		return
+	}
 	if sim.rng.Float64() < sim.lostAnswerShare {
-		switch sim.rng.IntN(3) {
+		switch sim.rng.IntN(4) {
+		case 3: // never sent
+			answer(plan.VerdictNotSent, 0)
+			return
 		case 0:
 			sim.after(clock.Millis(2000+sim.rng.IntN(10_000)), func() { sim.handleStart(term, d) })
 		case 1:
@@ -348,6 +377,7 @@
 	r := &fakeAttempt{task: d.Task, attempt: d.Attempt, startedAt: sim.now}
 	f.attempts[k] = r
 	sim.starts[d.Task]++
+	sim.byStep[d.Task.StepName()] = append(sim.members(d.Task), member{f, r})
 	if step := sim.stepOf(d.Task); step.Gang {
 		sim.after(gangTimeout, func() {
 			if !r.working && !r.ended && f.alive {
@@ -379,12 +409,10 @@
 	if total := used.Plus(sim.stepOf(d.Task).Charge()); !total.FitsIn(f.Capacity) {
 		sim.failf("worker %s with capacity %s is charged %s with task %s", f.ID, f.Capacity, total, d.Task)
 	}
-	for _, o := range sim.workers {
-		sim.expireLease(o)
-		for _, r := range o.attempts {
-			if o.alive && r.task == d.Task {
-				sim.failf("task %s starts on %s while attempt %d runs on %s", d.Task, f.ID, r.attempt, o.ID)
-			}
+	for _, m := range sim.members(d.Task) {
+		sim.expireLease(m.f)
+		if m.r.task == d.Task && !m.r.ended {
+			sim.failf("task %s starts on %s while attempt %d runs on %s", d.Task, f.ID, m.r.attempt, m.f.ID)
 		}
 	}
 	job := sim.state.Job(d.Task.Job)
@@ -419,18 +447,8 @@
 
 // startGangIfComplete starts the work of a gang once all its members of one attempt have started.
 func (sim *simulation) startGangIfComplete(t flow.Task, attempt int) {
-	type member struct {
-		f *fakeWorker
-		r *fakeAttempt
-	}
-	var all []member
-	for _, f := range sim.sortedWorkers() {
-		for _, r := range f.attempts {
-			if f.alive && r.task.StepName() == t.StepName() && r.attempt == attempt && !r.ended {
-				all = append(all, member{f, r})
-			}
-		}
-	}
+	all := slices.DeleteFunc(sim.members(t), func(m member) bool { return m.r.attempt != attempt })
+	slices.SortStableFunc(all, func(a, b member) int { return cmp.Compare(a.f.ID, b.f.ID) })
 	if len(all) < sim.stepOf(t).Count {
 		return
 	}
@@ -641,6 +659,15 @@
 	})
 }
 
+// countStarts counts the starts of all tasks.
+func (sim *simulation) countStarts() int {
+	total := 0
+	for _, n := range sim.starts {
+		total += n
+	}
+	return total
+}
+
 // countRestarts counts the starts of tasks beyond their first.
 func (sim *simulation) countRestarts() int {
 	extra := 0
--- a/vbridged/fleet/domain.go
+++ b/vbridged/fleet/domain.go
@@ -16,6 +16,7 @@
 	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
 	"vanillabridge/core/model"
+	"vanillabridge/core/outbox"
 	"vanillabridge/core/plan"
 	"vanillabridge/core/quorum"
 	"vanillabridge/vbridged/group"
@@ -61,6 +62,9 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	ticketCallers []model.Instance
+	budget        outbox.Budget
+	orders        *outbox.Outbox[plan.Decision] // orders that wait for their turn; guarded by Domain.mu
+	holdSlots     chan struct{}                 // one entry for each hold in progress
 }
 
 // Open starts the replica of a core. Serve then starts the listener and the periodic tasks.
@@ -269,7 +273,11 @@
 		UnixOffset: unixNow() - d.now(),
 	}
 	planner, out := plan.New(d.now(), cfg, d.state)
-	d.session = &session{term: term, planner: planner, ctx: ctx, cancel: cancel}
+	budget := outbox.DivideDescriptors(d.options.MaxDescriptors)
+	d.session = &session{
+		term: term, planner: planner, ctx: ctx, cancel: cancel, budget: budget,
+		orders: outbox.New[plan.Decision](budget.Orders), holdSlots: make(chan struct{}, budget.Holds),
+	}
 	klog.InfoS("plan started", "term", term, "jobs", len(d.state.Jobs()), "workers", len(d.state.Workers()))
 	d.executeDecisions(d.session, out)
 }
@@ -283,6 +291,7 @@
 	if s := d.session; s != nil {
 		if _, tick := e.(plan.Tick); tick {
 			d.updateTicketCallers(s)
+			s.orders.Expire(d.now())
 		}
 		d.executeDecisions(s, s.planner.Step(d.now(), e))
 	}
--- a/vbridged/fleet/fleet_test.go
+++ b/vbridged/fleet/fleet_test.go
@@ -22,15 +22,15 @@
 // unreachableWorkers is a fleet.Workers whose workers cannot be reached.
 type unreachableWorkers struct{}
 
-func (unreachableWorkers) Start(context.Context, uint64, plan.Start) (plan.Verdict, clock.Millis) {
+func (unreachableWorkers) Start(context.Context, fleet.Call, plan.Start) (plan.Verdict, clock.Millis) {
 	return plan.VerdictUnknown, 0
 }
 
-func (unreachableWorkers) Stop(context.Context, uint64, plan.Stop) (plan.Verdict, clock.Millis) {
+func (unreachableWorkers) Stop(context.Context, fleet.Call, plan.Stop) (plan.Verdict, clock.Millis) {
 	return plan.VerdictUnknown, 0
 }
 
-func (unreachableWorkers) Hold(context.Context, uint64, plan.Hold) (plan.HoldAnswered, plan.Failure, error) {
+func (unreachableWorkers) Hold(context.Context, fleet.Call, plan.Hold) (plan.HoldAnswered, plan.Failure, error) {
 	return plan.HoldAnswered{}, plan.FailureNoAnswer, fault.ErrUnavailable
 }
 
--- a/vbridged/fleet/options.go
+++ b/vbridged/fleet/options.go
@@ -30,6 +30,9 @@
 	// JobRetention is how long the record of a finished job is retained.
 	JobRetention clock.Millis
 
+	// MaxDescriptors is the number of descriptors that the process may have open, or 0 if it is not known.
+	MaxDescriptors int
+
 	Workers Workers
 	Tickets Tickets
 	Clock   clock.Source
@@ -62,6 +65,8 @@
 	orderTimeout = 600 * clock.Millisecond
 	// holdReplyGrace is added to the long-poll wait of a hold; after that the hold counts as unanswered.
 	holdReplyGrace = 600 * clock.Millisecond
+	// holdPollInterval is the pause between two holds of a worker while descriptors are scarce.
+	holdPollInterval = 400 * clock.Millisecond
 	// adviseTimeout limits a ticket call, which may wait for earlier calls of the same instance.
 	adviseTimeout = 5 * clock.Second
 	// attemptTimeout limits one attempt of a front to have the leader serve a request.
--- /dev/null
+++ b/vbridged/fleet/orders.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/flow"
+	"vanillabridge/core/model"
+	"vanillabridge/core/outbox"
+	"vanillabridge/core/plan"
+)
+
+// Time that an order may wait for its turn. A start order that is sent later would probably expire on
+// its way; a stop order is repeated by the planner.
+const (
+	startSendTimeout = clock.Second
+	stopSendTimeout  = 500 * clock.Millisecond
+)
+
+// queueOrder adds a start or stop order to the outbox of the session.
+func queueOrder(s *session, id model.WorkerID, task flow.Task, attempt int, sendBefore clock.Millis, urgent bool, order plan.Decision) {
+	s.orders.Add(outbox.Order[plan.Decision]{
+		Worker: id, Key: task.String() + "#" + strconv.Itoa(attempt), Urgent: urgent, SendBefore: sendBefore, Payload: order,
+	})
+}
+
+// sendOrders sends the orders whose turn has come, and reports to the planner those that were not
+// sent. The caller holds mu.
+func (d *Domain) sendOrders(s *session) {
+	call := d.workerCall(s)
+	for {
+		order, ok := s.orders.Next(d.now())
+		if !ok {
+			break
+		}
+		go d.sendOrder(s, call, order.Payload)
+	}
+	for _, order := range s.orders.TakeUnsent() {
+		d.executeDecisions(s, s.planner.Step(d.now(), d.orderAnswer(s, order.Payload, plan.VerdictNotSent, 0, 0)))
+	}
+}
+
+// workerCall returns the conditions of a call to a worker made now. The caller holds mu.
+func (d *Domain) workerCall(s *session) Call {
+	return Call{Fence: s.term, CloseConn: !s.budget.KeepsConnections(len(d.state.Workers()))}
+}
+
+// sendOrder sends an order and passes the answer to the planner.
+func (d *Domain) sendOrder(s *session, call Call, order plan.Decision) {
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout.Duration())
+	defer cancel()
+	start := time.Now()
+	var verdict plan.Verdict
+	var workerClock clock.Millis
+	var id model.WorkerID
+	switch x := order.(type) {
+	case plan.Start:
+		verdict, workerClock = d.options.Workers.Start(ctx, call, x)
+		id = x.Worker.ID
+	case plan.Stop:
+		verdict, workerClock = d.options.Workers.Stop(ctx, call, x)
+		id = x.Worker.ID
+	}
+	answer := d.orderAnswer(s, order, verdict, workerClock, time.Since(start))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.orders.Finish(id)
+	if d.session == s {
+		d.executeDecisions(s, s.planner.Step(d.now(), answer))
+	}
+}
+
+// orderAnswer logs and counts the outcome of an order, and returns it as an event for the planner.
+func (d *Domain) orderAnswer(s *session, order plan.Decision, v plan.Verdict, workerClock clock.Millis, took time.Duration) plan.OrderAnswered {
+	var w flow.Worker
+	answer := plan.OrderAnswered{Verdict: v, Clock: workerClock}
+	kind := "start"
+	switch x := order.(type) {
+	case plan.Start:
+		w, answer.Task, answer.Attempt = x.Worker, x.Task, x.Attempt
+	case plan.Stop:
+		kind = "stop"
+		w, answer.Task, answer.Attempt, answer.Stop = x.Worker, x.Task, x.Attempt, true
+	}
+	answer.Worker = plan.Incarnation{ID: w.ID, StartedAt: w.StartedAt}
+	d.metrics.observeOrder(kind, v, took)
+	if v != plan.VerdictDone { // the decision to place the task is logged already
+		klog.InfoS("order", "kind", kind, "task", answer.Task.String(), "attempt", answer.Attempt, "worker", w.ID, "verdict", v.String(),
+			"took", took.Milliseconds(), "term", s.term)
+	}
+	return answer
+}
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -22,9 +22,9 @@
 		case plan.Propose:
 			d.propose(s, x.Command)
 		case plan.Start:
-			go d.startTask(s, x)
+			queueOrder(s, x.Worker.ID, x.Task, x.Attempt, d.now()+startSendTimeout, false, x)
 		case plan.Stop:
-			go d.stopTask(s, x)
+			queueOrder(s, x.Worker.ID, x.Task, x.Attempt, d.now()+stopSendTimeout, true, x)
 		case plan.TicketRequest:
 			go d.requestTickets(s, x)
 		case plan.WatchWorker:
@@ -33,6 +33,7 @@
 			d.logDecision(s, x)
 		}
 	}
+	d.sendOrders(s)
 }
 
 // propose appends a command to the log. If that fails while this instance still leads, the planner
@@ -60,52 +61,48 @@
 	})
 }
 
-func (d *Domain) startTask(s *session, order plan.Start) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout.Duration())
-	defer cancel()
-	start := time.Now()
-	v, workerClock := d.options.Workers.Start(ctx, s.term, order)
-	d.metrics.observeOrder("start", v, time.Since(start))
-	logFailedOrder("start", s.term, order.Task.String(), order.Attempt, order.Worker.ID, v, time.Since(start))
-	d.stepSession(s, plan.OrderAnswered{
-		Worker: plan.Incarnation{ID: order.Worker.ID, StartedAt: order.Worker.StartedAt}, Task: order.Task, Attempt: order.Attempt, Verdict: v, Clock: workerClock,
-	})
-}
-
-func (d *Domain) stopTask(s *session, order plan.Stop) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout.Duration())
-	defer cancel()
-	start := time.Now()
-	v, workerClock := d.options.Workers.Stop(ctx, s.term, order)
-	d.metrics.observeOrder("stop", v, time.Since(start))
-	logFailedOrder("stop", s.term, order.Task.String(), order.Attempt, order.Worker.ID, v, time.Since(start))
-	d.stepSession(s, plan.OrderAnswered{
-		Worker: plan.Incarnation{ID: order.Worker.ID, StartedAt: order.Worker.StartedAt}, Task: order.Task, Attempt: order.Attempt, Stop: true, Verdict: v, Clock: workerClock,
-	})
-}
-
 // sendHolds sends holds to a worker until the planner has no more for this incarnation of the worker
 // or the session ends.
 func (d *Domain) sendHolds(s *session, incarnation plan.Incarnation) {
-	for s.ctx.Err() == nil {
-		d.mu.Lock()
-		if d.session != s {
-			d.mu.Unlock()
+	for {
+		select {
+		case s.holdSlots <- struct{}{}:
+		case <-s.ctx.Done():
 			return
 		}
-		h, wait, ok := s.planner.NextHold(d.now(), incarnation)
-		d.mu.Unlock()
+		wait, ok := d.sendNextHold(s, incarnation)
+		<-s.holdSlots
 		if !ok {
 			return
 		}
 		if wait > 0 {
 			sleep(s.ctx, wait)
-			continue
 		}
-		d.sendHold(s, incarnation, h)
 	}
 }
 
+// sendNextHold sends the next hold of a worker if it is due. It returns how long to wait before the next
+// call, and false once there are no more holds to send.
+func (d *Domain) sendNextHold(s *session, incarnation plan.Incarnation) (wait clock.Millis, ok bool) {
+	d.mu.Lock()
+	if d.session != s {
+		d.mu.Unlock()
+		return 0, false
+	}
+	h, wait, ok := s.planner.NextHold(d.now(), incarnation)
+	call := d.workerCall(s)
+	d.mu.Unlock()
+	if !ok || wait > 0 {
+		return wait, ok
+	}
+	if call.CloseConn {
+		// Other workers wait for the descriptor, so this one is polled instead.
+		h.MaxWait, wait = 0, holdPollInterval
+	}
+	d.sendHold(s, incarnation, h, call)
+	return wait, true
+}
+
 func sleep(ctx context.Context, t clock.Millis) {
 	timer := time.NewTimer(t.Duration())
 	defer timer.Stop()
@@ -115,11 +112,11 @@
 	}
 }
 
-func (d *Domain) sendHold(s *session, incarnation plan.Incarnation, h plan.Hold) {
+func (d *Domain) sendHold(s *session, incarnation plan.Incarnation, h plan.Hold, call Call) {
 	ctx, cancel := context.WithTimeout(s.ctx, (h.MaxWait + holdReplyGrace).Duration())
 	defer cancel()
 	sent := d.now()
-	report, failure, err := d.options.Workers.Hold(ctx, s.term, h)
+	report, failure, err := d.options.Workers.Hold(ctx, call, h)
 	d.metrics.countHold(err == nil)
 	if s.ctx.Err() != nil {
 		return
@@ -199,11 +196,3 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
-
-func logFailedOrder(kind string, term uint64, task string, attempt int, w model.WorkerID, v plan.Verdict, took time.Duration) {
-	if v == plan.VerdictDone {
-		return // the decision to place the task is logged already, and the metrics count the order
-	}
-	klog.InfoS("order", "kind", kind, "task", task, "attempt", attempt, "worker", w, "verdict", v.String(),
-		"took", took.Milliseconds(), "term", term)
-}
--- a/vbridged/fleet/ports.go
+++ b/vbridged/fleet/ports.go
@@ -8,15 +8,23 @@
 	"vanillabridge/core/plan"
 )
 
-// Workers sends orders to workers. Each order carries the term of the leader as a fencing token.
+// Call holds the conditions that all calls to workers share at a time.
+type Call struct {
+	// Fence is the term of the leader; workers reject calls of earlier terms.
+	Fence uint64
+	// CloseConn is set if the connection must not stay open after the call.
+	CloseConn bool
+}
+
+// Workers sends orders to workers.
 type Workers interface {
 	// Start returns what is known about the outcome of the order, and the time of the worker's clock
-	// if the worker answered.
-	Start(ctx context.Context, fence uint64, s plan.Start) (plan.Verdict, clock.Millis)
-	Stop(ctx context.Context, fence uint64, s plan.Stop) (plan.Verdict, clock.Millis)
+	// if the worker answered. VerdictNotSent means that not a byte of it was sent.
+	Start(ctx context.Context, call Call, s plan.Start) (plan.Verdict, clock.Millis)
+	Stop(ctx context.Context, call Call, s plan.Stop) (plan.Verdict, clock.Millis)
 	// Hold renews the worker's lease by a long poll and returns the worker's report, or the kind of
 	// failure. It leaves the report's Worker, SentAt and ReceivedAt unset.
-	Hold(ctx context.Context, fence uint64, h plan.Hold) (plan.HoldAnswered, plan.Failure, error)
+	Hold(ctx context.Context, call Call, h plan.Hold) (plan.HoldAnswered, plan.Failure, error)
 }
 
 // Tickets calls the ticket service, which decides which workers may run a step.
