core/plan: the workers considered for a start don't grow with the pool

Cause: each waiting step considered all workers for its tickets and tasks. Change: steps with tickets consider the permitted workers when these are fewer, and the search for workers to name begins with the emptiest of an index that is built once a pass, and ends after 400.

--- a/core/plan/further.go
+++ b/core/plan/further.go
@@ -1,5 +1,7 @@
 package plan
 
+import "vanillabridge/core/model"
+
 // requestReservedTickets requests tickets for workers on which the step has reserved capacity. If a
 // call of the step is in progress, its answer is awaited instead. If no call can be made, the
 // reservations are released, except those of a gang that accumulates capacity.
@@ -28,20 +30,23 @@
 	if st.tickets.callsInProgress > 0 || p.now < st.tickets.nextCallAt || !p.callerAvailable(st) {
 		return
 	}
-	schedulable := ps.schedulable[st.job.Queue.Pool]
 	list := p.unknownScratch[:0]
-	total := 0
-	p.workersConsidered += uint64(len(schedulable))
-	for i := range schedulable {
-		w := schedulable[(i+int(p.lastCallNumber)*ticketWorkerStride)%len(schedulable)]
-		if st.permission(p.now, w) != permissionUnknown || !st.eligible(w) {
-			continue
-		}
-		if n := st.freeSlots(w); n >= minSlots {
+	total, considered := 0, 0
+	var atLeast model.Millicores
+	if minSlots > 0 {
+		atLeast = st.spec.Charge().CPU
+	}
+	index := ps.indexByFree(st.job.Queue.Pool)
+	index.visit(atLeast, int(p.lastCallNumber)*ticketWorkerStride, func(w *worker) bool {
+		considered++
+		n := st.freeSlots(w)
+		if n >= minSlots && st.eligible(w) && st.permission(p.now, w) == permissionUnknown {
 			total += n
 			list = append(list, workerSlots{w, n})
 		}
-	}
+		return len(list) < maxTicketCandidates && considered < maxWorkersSearched
+	})
+	p.workersConsidered += uint64(considered)
 	p.unknownScratch = list
 	rate := p.approvalRate(st.job.Queue.Name)
 	if minSlots > 0 && float64(total)*rate < float64(p.missingSlots(ps, st)) {
--- a/core/plan/gang.go
+++ b/core/plan/gang.go
@@ -56,10 +56,10 @@
 // hasNewCapacity reports whether a permitted worker may have more free capacity than when the
 // placement of the step was last tried.
 func (p *Planner) hasNewCapacity(ps *pass, st *step) bool {
-	candidates := ps.workersWithNewCapacity(st)
+	candidates := ps.candidates(st)
 	p.workersConsidered += uint64(len(candidates))
 	for _, w := range candidates {
-		if st.permission(p.now, w) >= permissionExpired && st.freeSlots(w) > 0 {
+		if w.wasSchedulable && st.freeSlots(w) > 0 && st.permission(p.now, w) >= permissionExpired {
 			return true
 		}
 	}
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -77,6 +77,10 @@
 	ticketWorkerStride = 37
 	// maxWorkersPerCall is the number of workers that one ticket call may name.
 	maxWorkersPerCall = 100
+	// maxTicketCandidates and maxWorkersSearched bound the search for the workers that a ticket call names:
+	// the workers found, from which those with most free slots are named, and the workers considered.
+	maxTicketCandidates = 2 * maxWorkersPerCall
+	maxWorkersSearched  = 4 * maxWorkersPerCall
 	// ticketExpiryMargin is the part of a ticket's validity reserved for the commit of the assignment and
 	// the transit of the start order.
 	ticketExpiryMargin = 300 * clock.Millisecond
--- a/core/plan/pass.go
+++ b/core/plan/pass.go
@@ -35,12 +35,13 @@
 	maxFree map[string]model.Size
 	// waitingAhead counts the steps visited so far in this pass that still wait.
 	waitingAhead      int
-	accumulatingGangs int // gangs that accumulate capacity in this pass
+	byFree            map[string]*freeIndex // by pool; built when first used
+	accumulatingGangs int                   // gangs that accumulate capacity in this pass
 }
 
 func (p *Planner) newPass() *pass {
 	p.passNumber++
-	ps := &pass{schedulable: map[string][]*worker{}, maxFree: map[string]model.Size{}}
+	ps := &pass{schedulable: map[string][]*worker{}, maxFree: map[string]model.Size{}, byFree: map[string]*freeIndex{}}
 	for _, w := range p.sortByCapacityGain() {
 		w.wasSchedulable = w.isSchedulable(p.now) && !w.isSuspended(p.now)
 		if w.wasSchedulable {
@@ -102,3 +103,13 @@
 	})
 	return list[:n]
 }
+
+// candidates returns the workers to consider for a task of a step: those with new capacity, or the
+// permitted ones if these are fewer. The latter need not be schedulable.
+func (ps *pass) candidates(st *step) []*worker {
+	list := ps.workersWithNewCapacity(st)
+	if st.job.Queue.TicketPolicy != nil && len(st.tickets.ticketed) < len(list) {
+		return st.tickets.ticketed
+	}
+	return list
+}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -178,10 +178,10 @@
 func (p *Planner) bestWorker(ps *pass, st *step, minimum permission) *worker {
 	var best *worker
 	var bestCost float64
-	candidates := ps.workersWithNewCapacity(st)
+	candidates := ps.candidates(st)
 	p.workersConsidered += uint64(len(candidates))
 	for _, w := range candidates {
-		if st.permission(p.now, w) < minimum || st.freeSlots(w) == 0 || !st.eligible(w) {
+		if !w.wasSchedulable || st.freeSlots(w) == 0 || !st.eligible(w) || st.permission(p.now, w) < minimum {
 			continue
 		}
 		cost := p.placementCost(st, w)
