core/plan: ticket calls of a step are split over callers; reserved capacity is bounded

Change: a request names as many workers as its step needs, up to 400, and is split into calls that several callers make at the same time, fewer and longer ones while callers are scarce; further gangs accumulate only while a share of the capacity at most is reserved.

--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -104,14 +104,40 @@
 	reasonReserved = "kept"    // capacity is reserved on workers whose tickets expired
 )
 
-// requestTickets requests tickets of a step for workers, and reports whether it made the call. It
-// makes one call at a time and leaves out the workers beyond maxWorkersPerCall: callers are scarce
-// under load, and a step that used several at a time would keep other steps from their first call.
+// requestTickets requests tickets of a step for workers, and reports whether it made a call. Calls for
+// many workers are split, so that a wide gang gets its tickets in the time of a short call. While callers
+// are scarce the calls are fewer and longer: a step that used many callers would keep other steps from
+// their first call. Workers for which no caller is free are left out.
 func (p *Planner) requestTickets(st *step, list []*worker, reason string) bool {
 	if len(list) == 0 || st.tickets.callsInProgress > 0 || p.now < st.tickets.nextCallAt {
 		return false
 	}
-	return p.startTicketCall(st, list[:min(len(list), maxWorkersPerCall)], reason)
+	list = list[:min(len(list), maxWorkersPerRequest)]
+	for chunk := range slices.Chunk(list, p.workersPerCall(st, len(list))) {
+		if !p.startTicketCall(st, chunk, reason) {
+			break
+		}
+	}
+	return st.tickets.callsInProgress > 0
+}
+
+// workersPerCall returns how many workers each call about this many workers names.
+func (p *Planner) workersPerCall(st *step, workers int) int {
+	policy := st.job.Queue.TicketPolicy
+	size := clock.Millis(splitTimeShare*1000) * policy.BaseDuration / clock.Millis(max(policy.PerWorkerMicros, 1))
+	calls := max(1, p.idleCallers()/idleCallersPerRequest)
+	return min(max(int(size), (workers+calls-1)/calls, 1), maxWorkersPerCall)
+}
+
+// idleCallers counts the callers that make no call.
+func (p *Planner) idleCallers() int {
+	n := 0
+	for _, c := range p.callers {
+		if c.busyUntil <= p.now {
+			n++
+		}
+	}
+	return n
 }
 
 func (p *Planner) startTicketCall(st *step, list []*worker, reason string) bool {
@@ -152,12 +178,18 @@
 		call.caller.busyUntil = max(call.caller.busyUntil, p.now+callerFailureBackoff)
 	}
 	ts := &call.step.tickets
-	granted := e.OK && ts.awaitingTickets
-	if granted {
+	switch {
+	case e.OK && ts.callsInProgress > 1:
+		// The reservations stay until the other calls of the request are answered.
+		ts.callsInProgress--
+		p.passNeeded = true
+	case e.OK && ts.awaitingTickets:
 		// The next pass places this step on the reserved capacity before it visits other steps.
 		ts.awaitingTickets, call.step.ticketsArrived = false, true
+		p.finishTicketCall(call.step)
+	default:
+		p.finishTicketCall(call.step)
 	}
-	p.finishTicketCall(call.step)
 	p.passUrgent = true
 	if !e.OK {
 		ts.nextCallAt = p.now
--- a/core/plan/further.go
+++ b/core/plan/further.go
@@ -55,13 +55,16 @@
 	}
 	var chosen []*worker
 	need := ticketCapacityFactor * float64(len(st.waitingTasks())) / rate
+	needTotal := gangTicketFactor * float64(len(st.waitingTasks())) / rate
 	policy := st.job.Queue.TicketPolicy
 	extraWorkers := int(extraWorkersTimeShare * float64(policy.BaseDuration*1000) / float64(max(policy.PerWorkerMicros, 1)))
 	for i, r := range p.sortBySlots(list) {
-		if need <= 0 && i >= extraWorkers {
+		if min(need, needTotal) <= 0 && i >= extraWorkers {
 			break
 		}
-		need -= max(float64(r.slots), minFreeShare*float64(countFits(r.worker.Capacity, st.spec.Charge())))
+		slotsIfEmpty := float64(countFits(r.worker.Capacity, st.spec.Charge()))
+		need -= max(float64(r.slots), minFreeShare*slotsIfEmpty)
+		needTotal -= slotsIfEmpty
 		chosen = append(chosen, r.worker)
 	}
 	reason := reasonFurther
--- a/core/plan/gang.go
+++ b/core/plan/gang.go
@@ -32,7 +32,7 @@
 		// them are free at once.
 		p.requestFurtherTickets(ps, st, 0)
 	}
-	if total < count || p.now-st.readyAt < gangAccumulateDelay || ps.accumulatingGangs >= baseAccumulatingGangs+len(p.workers)/workersPerAccumulatingGang {
+	if total < count || p.now-st.readyAt < gangAccumulateDelay || !p.mayAccumulate(ps, st) {
 		return
 	}
 	ps.accumulatingGangs++
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -77,10 +77,20 @@
 	ticketWorkerStride = 37
 	// maxWorkersPerCall is the number of workers that one ticket call may name.
 	maxWorkersPerCall = 100
+	// splitTimeShare is the time that the workers named in one call of a split request may add to it, as a
+	// share of the call's fixed time.
+	splitTimeShare = 0.5
+	// maxWorkersPerRequest is the number of workers that the calls of one request may name.
+	maxWorkersPerRequest = 400
+	// idleCallersPerRequest is the inverse of the share of the idle callers that one request may use.
+	idleCallersPerRequest = 4
+	// gangTicketFactor is how many times the tasks of a step should fit on the workers that are expected to
+	// be permitted, if these were empty.
+	gangTicketFactor = 4
 	// maxTicketCandidates and maxWorkersSearched bound the search for the workers that a ticket call names:
 	// the workers found, from which those with most free slots are named, and the workers considered.
-	maxTicketCandidates = 2 * maxWorkersPerCall
-	maxWorkersSearched  = 4 * maxWorkersPerCall
+	maxTicketCandidates = maxWorkersPerRequest
+	maxWorkersSearched  = 2 * maxWorkersPerRequest
 	// ticketExpiryMargin is the part of a ticket's validity reserved for the commit of the assignment and
 	// the transit of the start order.
 	ticketExpiryMargin = 300 * clock.Millisecond
@@ -117,8 +127,8 @@
 	gangCapacityFactor = 3
 	// ticketRenewalShare is the share of its slots that a gang must have accumulated to renew its tickets.
 	ticketRenewalShare = 0.5
-	// baseAccumulatingGangs is the number of gangs that may accumulate capacity at one time, plus one for
-	// every workersPerAccumulatingGang workers.
-	baseAccumulatingGangs      = 2
-	workersPerAccumulatingGang = 25
+	// minAccumulatingGangs is the number of gangs that may accumulate capacity at any time. Further ones may
+	// while less than maxReservedShare of the capacity is reserved: reserved capacity does no work.
+	minAccumulatingGangs = 2
+	maxReservedShare     = 0.08
 )
--- a/core/plan/pass.go
+++ b/core/plan/pass.go
@@ -35,17 +35,19 @@
 	maxFree map[string]model.Size
 	// waitingAhead counts the steps visited so far in this pass that still wait.
 	waitingAhead      int
-	byFree            map[string]*freeIndex // by pool; built when first used
-	accumulatingGangs int                   // gangs that accumulate capacity in this pass
+	byFree            map[string]*freeIndex       // by pool; built when first used
+	capacity          map[string]model.Millicores // of the schedulable workers, by pool
+	accumulatingGangs int                         // gangs that accumulate capacity in this pass
 }
 
 func (p *Planner) newPass() *pass {
 	p.passNumber++
-	ps := &pass{schedulable: map[string][]*worker{}, maxFree: map[string]model.Size{}, byFree: map[string]*freeIndex{}}
+	ps := &pass{schedulable: map[string][]*worker{}, maxFree: map[string]model.Size{}, byFree: map[string]*freeIndex{}, capacity: map[string]model.Millicores{}}
 	for _, w := range p.sortByCapacityGain() {
 		w.wasSchedulable = w.isSchedulable(p.now) && !w.isSuspended(p.now)
 		if w.wasSchedulable {
 			ps.schedulable[w.Pool] = append(ps.schedulable[w.Pool], w)
+			ps.capacity[w.Pool] += w.Capacity.CPU
 			ps.maxFree[w.Pool] = ps.maxFree[w.Pool].Max(w.freeCapacity())
 		}
 	}
@@ -84,6 +86,12 @@
 	return min(depth, maxRetryDelayFactor) * placementRetryDelay
 }
 
+// mayAccumulate reports whether another gang may accumulate capacity.
+func (p *Planner) mayAccumulate(ps *pass, st *step) bool {
+	pool := st.job.Queue.Pool
+	return ps.accumulatingGangs < minAccumulatingGangs || float64(p.reserved[pool]) < maxReservedShare*float64(ps.capacity[pool])
+}
+
 // noteCapacityGain records that a worker has more free capacity from the next pass on.
 func (p *Planner) noteCapacityGain(w *worker) {
 	w.gainedInPass = p.passNumber + 1
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -307,6 +307,7 @@
 func (p *Planner) releaseReservations(st *step) {
 	for _, r := range st.reservations {
 		r.worker.reserved = r.worker.reserved.Minus(r.amount)
+		p.reserved[r.worker.Pool] -= r.amount.CPU
 		p.noteCapacityGain(r.worker)
 	}
 	st.reservations = nil
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -231,6 +231,7 @@
 	amount := st.spec.Charge()
 	for _, w := range list {
 		w.reserved = w.reserved.Plus(amount)
+		p.reserved[w.Pool] += amount.CPU
 		st.reservations = append(st.reservations, reservation{w, amount})
 	}
 }
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -45,6 +45,7 @@
 	lastPassAt             clock.Millis
 	lastFlushAt            clock.Millis
 	passNumber             uint64
+	reserved               map[string]model.Millicores // processor capacity that steps have reserved, by pool
 	// workersConsidered counts how often a worker was considered for a step.
 	workersConsidered uint64
 	// Scratch buffers of a placement pass.
@@ -61,7 +62,7 @@
 		cfg: cfg, state: state, now: now,
 		workers: map[model.WorkerID]*worker{},
 		jobs:    map[model.JobID]*job{}, recurringJobs: map[model.JobID]*job{},
-		ticketCalls:   map[uint64]*ticketCall{},
+		ticketCalls: map[uint64]*ticketCall{}, reserved: map[string]model.Millicores{},
 		approvalRates: map[string]float64{}, pendingAcks: map[uint64]ackBatch{},
 	}
 	ids := make([]model.WorkerID, 0, len(state.Workers()))
