--- a/core/store/disklog.go
+++ b/core/store/disklog.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"slices"
 
 	"vanillabridge/core/fault"
@@ -123,15 +124,9 @@
 	return f.Sync()
 }
 
-// startSegment closes the segment file and starts a new one. The first frame of each file holds the
+// startSegment starts a new segment file and closes the old one. With ErrFull it has changed nothing. The first frame of each file holds the
 // hard state, because older files may be removed.
 func (d *Disk) startSegment(r record) error {
-	if d.segmentFile != nil {
-		if err := d.segmentFile.Close(); err != nil {
-			return err
-		}
-		d.segmentFile = nil
-	}
 	frame, err := encodeFrame(d.salt, d.nextFrame, r)
 	if err != nil {
 		return err
@@ -142,6 +137,11 @@
 	if err := writeFileAtomically(d.fs, name, encodeSegmentHeader(d.salt, d.nextFrame), frame); err != nil {
 		return err
 	}
+	if d.segmentFile != nil {
+		if err := d.segmentFile.Close(); err != nil {
+			return err
+		}
+	}
 	if d.segmentFile, err = d.fs.Append(name, size); err != nil {
 		return err
 	}
@@ -157,7 +157,8 @@
 }
 
 // Write makes a batch of Persist outputs durable in order, with one sync of the log for all outputs
-// up to a snapshot or the end.
+// up to a snapshot or the end. With ErrFull a part of the batch may be durable; the whole batch may be
+// written again.
 func (d *Disk) Write(batch []quorum.Persist) error {
 	if err := d.checkFailure(); err != nil {
 		return err
@@ -199,7 +200,13 @@
 		return d.setFailure(err, "encode log record")
 	}
 	if _, err := d.segmentFile.Write(b); err != nil {
-		return d.setFailure(err, "write log")
+		if err = asFull(err, "write log"); !errors.Is(err, ErrFull) {
+			return d.setFailure(err, "write log")
+		}
+		if discardErr := d.discardPartialFrame(); discardErr != nil {
+			return d.setFailure(discardErr, "cut off a partial log record")
+		}
+		return err
 	}
 	if err := d.segmentFile.Sync(); err != nil {
 		return d.setFailure(err, "sync log")
@@ -217,7 +224,8 @@
 		c.LogSyncs++
 	})
 	if s.size >= d.limits.SegmentBytes {
-		if err := d.startSegment(record{HardState: d.hardState}); err != nil {
+		// On a full disk the log goes on in the present file, and the next write tries again.
+		if err := d.startSegment(record{HardState: d.hardState}); err != nil && !errors.Is(err, ErrFull) {
 			return d.setFailure(err, "start log file")
 		}
 	}
--- a/core/store/disksnap.go
+++ b/core/store/disksnap.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"errors"
+
 	"vanillabridge/core/fault"
 	"vanillabridge/core/quorum"
 )
@@ -42,7 +44,7 @@
 }
 
 // SaveSnapshot makes a snapshot of the state machine durable and removes the previous one. It may
-// run concurrently with Write.
+// run concurrently with Write. With ErrFull the previous snapshot stays.
 func (d *Disk) SaveSnapshot(s quorum.Snapshot) error {
 	d.saveMu.Lock()
 	defer d.saveMu.Unlock()
@@ -59,7 +61,9 @@
 	if err != nil {
 		return d.setFailure(err, "encode snapshot")
 	}
-	if err := writeFileAtomically(d.fs, snapshotName(s.Meta.Index), head, s.Data); err != nil {
+	if err := writeFileAtomically(d.fs, snapshotName(s.Meta.Index), head, s.Data); errors.Is(err, ErrFull) {
+		return err
+	} else if err != nil {
 		return d.setFailure(err, "write snapshot")
 	}
 	d.setNewestSnapshot(s, int64(len(head)))
@@ -83,7 +87,9 @@
 
 // resetLog starts an empty log after the newest snapshot and removes all older segment files.
 func (d *Disk) resetLog(h quorum.HardState) error {
-	if err := d.startSegment(record{HardState: h, ResetsLog: true}); err != nil {
+	if err := d.startSegment(record{HardState: h, ResetsLog: true}); errors.Is(err, ErrFull) {
+		return err
+	} else if err != nil {
 		return d.setFailure(err, "start log file")
 	}
 	return d.Compact(^uint64(0))
--- a/core/store/memfs_test.go
+++ b/core/store/memfs_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 )
 
 var errCrash = errors.New("crashed")
@@ -25,6 +26,7 @@
 	// negative means that none fail.
 	callsUntilCrash int
 	injectedErr     error
+	full            bool // writes and creations fail for lack of space
 	syncCount       int
 }
 
@@ -88,6 +90,9 @@
 	if err := m.beginCall(); err != nil {
 		return nil, err
 	}
+	if m.full {
+		return nil, syscall.ENOSPC
+	}
 	f := &memFile{fs: m}
 	m.changeDir(func(files map[string]*memFile) { files[name] = f })
 	return f, nil
@@ -152,6 +157,10 @@
 		f.data = append(f.data, p[:f.fs.rng.IntN(len(p)+1)]...)
 		return 0, err
 	}
+	if f.fs.full {
+		f.data = append(f.data, p[:f.fs.rng.IntN(len(p)+1)]...)
+		return 0, syscall.ENOSPC
+	}
 	f.data = append(f.data, p...)
 	return len(p), nil
 }
--- a/core/store/snapfile.go
+++ b/core/store/snapfile.go
@@ -67,7 +67,7 @@
 func writeFileAtomically(fs FS, name string, parts ...[]byte) error {
 	f, err := fs.Create(name + tmpSuffix)
 	if err != nil {
-		return err
+		return asFull(err, "create "+name)
 	}
 	for _, p := range parts {
 		if _, err = f.Write(p); err != nil {
@@ -81,7 +81,8 @@
 		err = closeErr
 	}
 	if err != nil {
-		return err
+		// The file has not got its name yet, so nothing depends on it.
+		return asFull(err, "write "+name)
 	}
 	if err := fs.Rename(name+tmpSuffix, name); err != nil {
 		return err
--- a/vbridged/fleet/domain.go
+++ b/vbridged/fleet/domain.go
@@ -222,6 +222,10 @@
 	d.wg.Wait()
 }
 
+// Stopped returns a channel that is closed once the replica of this core has stopped for good: its disk
+// failed, or Stop was called. The process should then end, so that it starts again from its disk.
+func (d *Domain) Stopped() <-chan struct{} { return d.group.Stopped() }
+
 // SetSeeds adds the instances of a new seed list; it removes none.
 func (d *Domain) SetSeeds(list []peer.Address) {
 	for _, s := range list {
--- a/vbridged/group/apply.go
+++ b/vbridged/group/apply.go
@@ -1,10 +1,13 @@
 package group
 
 import (
+	"errors"
+
 	"k8s.io/klog/v2"
 
 	"vanillabridge/core/fault"
 	"vanillabridge/core/quorum"
+	"vanillabridge/core/store"
 )
 
 type applyItem struct {
@@ -35,7 +38,13 @@
 			}
 		}
 		if g.snapshotDue(growth) {
-			if err := g.takeSnapshot(); err != nil {
+			err := g.takeSnapshot()
+			if errors.Is(err, store.ErrFull) {
+				// The log grows meanwhile; the next attempt is made after as much growth again.
+				klog.InfoS("snapshot not saved: disk is full", "group", g.cfg.Group, "self", g.self.String())
+				err = nil
+			}
+			if err != nil {
 				klog.ErrorS(err, "stopping replica: snapshot failed", "group", g.cfg.Group, "self", g.self.String())
 				g.stopWithError(err)
 				return
--- a/vbridged/group/group.go
+++ b/vbridged/group/group.go
@@ -297,6 +297,9 @@
 	return g.store.Close()
 }
 
+// Stopped returns a channel that is closed once the replica has stopped, because of Close or of an error.
+func (g *Group) Stopped() <-chan struct{} { return g.done }
+
 // Err returns the reason why the group has stopped, or nil while it runs.
 func (g *Group) Err() error {
 	g.mu.Lock()
