core/plan: the priority of a queue delays the rank of its steps

Cause: the priority was decoded and checked, and planning did not read it. Change: a step counts as due later by 3 s for each priority number of its queue, so that urgent queues pass the others without starving them.

--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -52,6 +52,10 @@
 	// maxDepthForTickets is the number of steps that may wait ahead of a step whose first tickets are
 	// requested. With more, the tickets would expire before the step can be placed.
 	maxDepthForTickets = 32
+	// priorityDelay is how much later a step counts as due for each priority number of its queue, up to
+	// maxDelayedPriority. It is about the time for which tasks keep a worker.
+	priorityDelay      = 3 * clock.Second
+	maxDelayedPriority = 4
 	// placementRetryDelay is the pause before the placement of a step is tried again, per
 	// maxDepthForTickets steps that wait ahead of it, and at most maxRetryDelayFactor times as long. It
 	// is short compared with the objectives of urgent queues.
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -32,7 +32,7 @@
 		list[i] = ranked{p.rankOf(st), st}
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
-		if c := cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.latestStart, b.latestStart)); c != 0 {
+		if c := cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.start, b.start)); c != 0 {
 			return c
 		}
 		return compareTasks(a.st.name, b.st.name)
