--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -321,9 +321,9 @@
 	case !s.awake(i):
 	case draw < s.crashes:
 		s.crash(i)
-	case draw < s.crashes+s.steps:
+	case draw < s.crashes+s.stepDowns:
 		s.granters[s.leader].StepDown()
-	case draw < s.crashes+s.steps+s.pauses:
+	case draw < s.crashes+s.stepDowns+s.pauses:
 		n.pausedUntil = s.now + s.randomTime([]int{50, 1500, 3000, 6000, 30000})
 	default:
 		s.advanceRequests(i)
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -62,6 +62,10 @@
 	ticketCalls    int
 	ticketCallTime clock.Millis
 	callers        []model.Instance
+	// maxTicketTransit is the longest transit of a ticket call. If it is set, a call takes the time of its
+	// queue's policy besides, and each caller makes one call at a time.
+	maxTicketTransit clock.Millis
+	callerBusyUntil  map[model.Instance]clock.Millis
 	// farCallers need two more transits for a ticket call; farCalls counts their calls.
 	farCallers map[model.Instance]bool
 	farCalls   int
@@ -138,7 +142,7 @@
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1_000_000, state: ledger.New(),
 		workers: map[model.WorkerID]*fakeWorker{}, succeeded: map[flow.Task]bool{}, restartedOn: map[flow.Task]model.WorkerID{}, ackedAt: map[flow.Task]clock.Millis{},
-		starts: map[flow.Task]int{}, byStep: map[string][]member{}, endedAt: map[model.JobID]clock.Millis{}, ticketCallTime: 40,
+		callerBusyUntil: map[model.Instance]clock.Millis{}, starts: map[flow.Task]int{}, byStep: map[string][]member{}, endedAt: map[model.JobID]clock.Millis{}, ticketCallTime: 40,
 		steps: map[model.JobID][]flow.Step{}, callers: []model.Instance{"a", "b", "c"},
 	}
 	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 500, false }
@@ -219,6 +223,9 @@
 				break
 			}
 			took := sim.ticketCallTime
+			if sim.maxTicketTransit > 0 {
+				took = sim.ticketCallDuration(d)
+			}
 			if sim.farCallers[d.Caller] {
 				took += 2 * transitTime
 				sim.farCalls++
@@ -638,6 +645,16 @@
 	})
 }
 
+// ticketCallDuration returns how long a call takes at a service that handles the calls of each caller in
+// turn.
+func (sim *simulation) ticketCallDuration(d plan.TicketRequest) clock.Millis {
+	policy := sim.state.Job(d.Task.Job).Queue.TicketPolicy
+	transit := clock.Millis(sim.rng.Int64N(int64(sim.maxTicketTransit)))
+	busy := max(sim.callerBusyUntil[d.Caller], sim.now+transit) + policy.BaseDuration + clock.Millis(policy.PerWorkerMicros*int64(len(d.Workers))/1000)
+	sim.callerBusyUntil[d.Caller] = busy
+	return busy + transit - sim.now
+}
+
 func ticketOf(step string, id model.WorkerID) string { return step + "@" + string(id) }
 
 func (sim *simulation) answerTicketCall(term uint64, d plan.TicketRequest) {
