--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -49,19 +49,15 @@
 	// minPassInterval is the shortest time between two placement passes. Under load it batches many
 	// events in one pass.
 	minPassInterval = 10 * clock.Millisecond
-	// baseDepthForTickets and depthPerCaller bound the number of steps that may wait ahead of a step whose
-	// first tickets are requested. With more, the callers would be busy with steps that can't be placed soon;
-	// with fewer, free capacity finds no step that may use it.
-	baseDepthForTickets = 32
-	depthPerCaller      = 3
-	// backlogDepth is the number of waiting steps from which on passes are batched and steps skipped.
-	backlogDepth = 256
+	// maxDepthForTickets is the number of steps that may wait ahead of a step whose first tickets are
+	// requested. With more, the tickets would expire before the step can be placed.
+	maxDepthForTickets = 32
 	// priorityDelay is how much later a step counts as due for each priority number of its queue, up to
 	// maxDelayedPriority. It is about the time for which tasks keep a worker.
 	priorityDelay      = 3 * clock.Second
 	maxDelayedPriority = 4
 	// placementRetryDelay is the pause before the placement of a step is tried again, per
-	// backlogDepth steps that wait ahead of it, and at most maxRetryDelayFactor times as long. It
+	// maxDepthForTickets steps that wait ahead of it, and at most maxRetryDelayFactor times as long. It
 	// is short compared with the objectives of urgent queues.
 	placementRetryDelay = 40 * clock.Millisecond
 	maxRetryDelayFactor = 8
@@ -94,7 +90,7 @@
 	idleCallersPerRequest = 4
 	// gangTicketFactor is how many times the tasks of a step should fit on the workers that are expected to
 	// be permitted, if these were empty.
-	gangTicketFactor = 8
+	gangTicketFactor = 4
 	// maxTicketCandidates and maxWorkersSearched bound the search for the workers that a ticket call names:
 	// the workers found, from which those with most free slots are named, and the workers considered.
 	maxTicketCandidates = maxWorkersPerRequest
@@ -138,5 +134,5 @@
 	// minAccumulatingGangs is the number of gangs that may accumulate capacity at any time. Further ones may
 	// while less than maxReservedShare of the capacity is reserved: reserved capacity does no work.
 	minAccumulatingGangs = 2
-	maxReservedShare     = 0.15
+	maxReservedShare     = 0.08
 )
--- a/core/plan/pass.go
+++ b/core/plan/pass.go
@@ -82,7 +82,7 @@
 // of steps that wait ahead: under a backlog, repeated attempts at steps unlikely to be placed would
 // use up the processor that start orders need.
 func (ps *pass) retryDelay(st *step) clock.Millis {
-	depth := clock.Millis(ps.waitingAhead / backlogDepth)
+	depth := clock.Millis(ps.waitingAhead / maxDepthForTickets)
 	if st.spec.Gang {
 		depth++ // placing a gang considers all workers that may run it
 	}
@@ -95,11 +95,6 @@
 	return ps.accumulatingGangs < minAccumulatingGangs || float64(p.reserved[pool]) < maxReservedShare*float64(ps.capacity[pool])
 }
 
-// mayRequestFirst reports whether the first tickets of a step may be requested.
-func (p *Planner) mayRequestFirst(ps *pass) bool {
-	return ps.waitingAhead < baseDepthForTickets+len(p.callers)*depthPerCaller
-}
-
 // noteCapacityGain records that a worker has more free capacity from the next pass on.
 func (p *Planner) noteCapacityGain(w *worker) {
 	w.gainedInPass = p.passNumber + 1
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	if st.job.Queue.TicketPolicy != nil && !st.tickets.answered {
-		if p.mayRequestFirst(ps) {
+		if ps.waitingAhead < maxDepthForTickets {
 			p.requestFurtherTickets(ps, st, 0)
 		}
 		return false
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -40,7 +40,7 @@
 	lastSettlement uint64
 	// passNeeded is set when capacity or tickets have changed since the last placement pass. passUrgent
 	// is set when a step became ready or tickets arrived: the next pass then doesn't wait for
-	// minPassInterval, unless backlogDepth or more steps are waiting.
+	// minPassInterval, unless maxDepthForTickets or more steps are waiting.
 	passNeeded, passUrgent bool
 	lastPassAt             clock.Millis
 	lastFlushAt            clock.Millis
@@ -121,7 +121,7 @@
 // takeDecisions runs a placement pass and proposes the collected commands if they are due, and
 // returns the decisions made since the last call.
 func (p *Planner) takeDecisions() []Decision {
-	if p.passNeeded && (p.now-p.lastPassAt >= minPassInterval || (p.passUrgent && len(p.ready) < backlogDepth)) {
+	if p.passNeeded && (p.now-p.lastPassAt >= minPassInterval || (p.passUrgent && len(p.ready) < maxDepthForTickets)) {
 		p.passNeeded, p.passUrgent = false, false
 		p.runPass()
 	}
