vbridged: settings without effect take effect or are refused

Cause: [entry] time, queue and connections and [worker] sync were checked and documented, and nothing read them. Change: time bounds the time of a request and queue the requests that wait at an instance, over all services (TestLimitsOfSettings); connections and sync are gone, and a file that has them gets a line that says why: each server announces its connection limit, and workers decide when they report. The rule that a lease has four syncs went with the key; its bound of 2 s on the lease stays.

--- a/vbridged/config/load.go
+++ b/vbridged/config/load.go
@@ -124,7 +124,10 @@
 	}
 	i := slices.IndexFunc(settingTable, func(k setting) bool { return k.section == section && k.name == name })
 	if i < 0 {
-		if isKnownSection(section) {
+		switch reason := removedKeys[section+" "+name]; {
+		case reason != "":
+			r.addProblem(section, name, reason)
+		case isKnownSection(section):
 			r.addProblem(section, name, "unknown key")
 		}
 		return
--- a/vbridged/config/rules.go
+++ b/vbridged/config/rules.go
@@ -12,10 +12,9 @@
 const (
 	maxZoneVoters = 3
 	maxCellVoters = 5
-	// minHeartbeatsPerElection and minSyncsPerLease keep one or two lost messages from starting an
+	// minHeartbeatsPerElection keeps one or two lost messages from starting an
 	// election or expiring a lease.
 	minHeartbeatsPerElection = 3
-	minSyncsPerLease         = 4
 )
 
 func addPeer(s *Settings, name, text string) string {
@@ -62,9 +61,6 @@
 	if s.Group.ElectionTimeout < minHeartbeatsPerElection*s.Group.HeartbeatInterval {
 		r.addProblem("group", "election", fmt.Sprintf("%s is less than %d heartbeats of %s", s.Group.ElectionTimeout, minHeartbeatsPerElection, s.Group.HeartbeatInterval))
 	}
-	if s.Worker.LeaseDuration < minSyncsPerLease*s.Worker.SyncInterval {
-		r.addProblem("worker", "lease", fmt.Sprintf("%s is less than %d syncs of %s", s.Worker.LeaseDuration, minSyncsPerLease, s.Worker.SyncInterval))
-	}
 	if (s.TLS.Certificate == "") != (s.TLS.Key == "") {
 		r.addProblem("tls", "certificate", "certificate and key must be set together, only one of them is set")
 	}
--- a/vbridged/config/settings.go
+++ b/vbridged/config/settings.go
@@ -85,13 +85,11 @@
 	MaxHeaderBytes    Bytes        // size limit of a request header
 	MaxBodyBytes      Bytes        // size limit of a request body
 	MaxQueuedRequests int          // limit of requests that wait for a backend server
-	ServerConnections int          // connection limit per backend server
 }
 
 // Worker holds the section [worker].
 type Worker struct {
 	LeaseDuration clock.Millis
-	SyncInterval  clock.Millis
 }
 
 // Drain holds the section [drain].
--- a/vbridged/config/table.go
+++ b/vbridged/config/table.go
@@ -87,17 +87,9 @@
 		field: func(s *Settings) any { return &s.Entry.MaxQueuedRequests },
 	},
 	{
-		section: "entry", name: "connections", defaultText: "8", min: 1, max: 1024, doc: "maximum number of connections to one backend server; set it to the connection limit of the server divided by the number of entry instances",
-		field: func(s *Settings) any { return &s.Entry.ServerConnections },
-	},
-	{
-		section: "worker", name: "lease", defaultText: "10s", min: 2000, max: 300_000, doc: "time for which a worker keeps running its tasks without an answer from the zone leader; at least 4 sync intervals",
+		section: "worker", name: "lease", defaultText: "10s", min: 2000, max: 300_000, doc: "time for which a worker keeps running its tasks without an answer from the zone leader",
 		field: func(s *Settings) any { return &s.Worker.LeaseDuration },
 	},
-	{
-		section: "worker", name: "sync", defaultText: "500ms", min: 50, max: 60_000, doc: "interval between reports of a worker to the zone leader",
-		field: func(s *Settings) any { return &s.Worker.SyncInterval },
-	},
 	{
 		section: "drain", name: "time", defaultText: "30s", min: 0, max: 600_000, doc: "time for which a planned stop waits for requests in progress",
 		field: func(s *Settings) any { return &s.Drain.Timeout },
@@ -155,3 +147,10 @@
 		doc: "one key for each zone whose group has this instance as its witness; the value lists the initial voters of that group, without this instance", parse: addWitness,
 	},
 }
+
+// removedKeys holds the keys of earlier versions, with the reason why they no longer exist. A file that
+// has one is refused, because its author expects an effect.
+var removedKeys = map[string]string{
+	"entry connections": "no longer exists: each backend server announces its connection limit, which the entry instances share",
+	"worker sync":       "no longer exists: workers decide themselves when they report",
+}
--- a/vbridged/entry/call.go
+++ b/vbridged/entry/call.go
@@ -11,7 +11,6 @@
 	"vanillabridge/core/member"
 	"vanillabridge/core/model"
 	"vanillabridge/core/once"
-	"vanillabridge/core/permit"
 	"vanillabridge/core/proto"
 )
 
@@ -78,7 +77,7 @@
 	if known, ok := snap.Callers[c.caller]; ok {
 		c.class, c.share = known.Class, max(known.Share, DefaultShare)
 	}
-	if refused := c.parseClassAndDeadline(r); refused != nil {
+	if refused := c.parseClassAndDeadline(r, e.settings.MaxRequestTime); refused != nil {
 		return c, refused
 	}
 	if r.ContentLength > e.settings.MaxBodyBytes {
@@ -100,7 +99,7 @@
 	return nil
 }
 
-func (c *call) parseClassAndDeadline(r *http.Request) *refusal {
+func (c *call) parseClassAndDeadline(r *http.Request, maxTime clock.Millis) *refusal {
 	if text := r.Header.Get(proto.HeaderClass); text != "" {
 		u, err := model.ParseUrgency(text)
 		if err != nil {
@@ -117,7 +116,7 @@
 		}
 		limit = clock.Millis(ms)
 	}
-	c.deadline = c.acceptedAt + min(limit, permit.MaxRequestTime)
+	c.deadline = c.acceptedAt + min(limit, maxTime)
 	return nil
 }
 
--- a/vbridged/entry/queue.go
+++ b/vbridged/entry/queue.go
@@ -51,6 +51,11 @@
 	}
 	s.waiters[c.queueID] = w
 	e.dispatchService(now, s)
+	if w.permit == nil && w.refusal == nil && e.waitingRequests() > e.settings.MaxQueuedRequests {
+		s.queue.Cancel(c.queueFlow(), c.queueID)
+		delete(s.waiters, c.queueID)
+		return nil, s, newQueueRefusal(admit.Refusal{Cause: admit.CauseQueueFull, RetryAfter: defaultRetryAfter})
+	}
 	if w.permit == nil {
 		w.wakeup = make(chan struct{})
 		if waitingBefore == 0 {
@@ -60,6 +65,15 @@
 	return w, s, nil
 }
 
+// waitingRequests returns the number of requests that wait, over all services. The caller holds mu.
+func (e *Entry) waitingRequests() int {
+	n := 0
+	for _, s := range e.services {
+		n += s.queue.Waiting()
+	}
+	return n
+}
+
 // cancelWait removes a request from its queue after its deadline has passed or its caller has
 // disconnected.
 func (e *Entry) cancelWait(c *call, s *service, w *waiter) {
--- a/vbridged/entry/settings.go
+++ b/vbridged/entry/settings.go
@@ -17,16 +17,21 @@
 	SpilloverZones []model.Zone     // zones to which requests may spill
 	// FirstStart says that no earlier process of this instance can have requests in progress.
 	// Without it no permit is used after a start for the maximum request time.
-	FirstStart     bool
-	MaxHeaderBytes int   // largest header of a request or a response, in bytes
-	MaxBodyBytes   int64 // largest body of a request or a response, in bytes
-	Seed           uint64
+	FirstStart bool
+	// MaxRequestTime bounds the time of a request, besides permit.MaxRequestTime.
+	MaxRequestTime clock.Millis
+	// MaxQueuedRequests is the number of requests that may wait at this instance, over all services.
+	MaxQueuedRequests int
+	MaxHeaderBytes    int   // largest header of a request or a response, in bytes
+	MaxBodyBytes      int64 // largest body of a request or a response, in bytes
+	Seed              uint64
 }
 
 // Defaults and fixed timeouts of an Entry.
 const (
-	DefaultMaxHeaderBytes = 64 << 10
-	DefaultMaxBodyBytes   = 64 << 20
+	DefaultMaxQueuedRequests = 10_000
+	DefaultMaxHeaderBytes    = 64 << 10
+	DefaultMaxBodyBytes      = 64 << 20
 	// TickInterval is the period of the periodic work.
 	TickInterval = 50 * clock.Millisecond
 	// DialTimeout bounds the time to open a connection to a backend server.
@@ -48,6 +53,8 @@
 	if s.EntryCount < len(s.Peers)+1 {
 		return s, fault.Wrap(fault.ErrInvalid, "entry settings: EntryCount is %d, but the own zone has %d entry instances", s.EntryCount, len(s.Peers)+1)
 	}
+	s.MaxRequestTime = min(orDefault(s.MaxRequestTime, permit.MaxRequestTime), permit.MaxRequestTime)
+	s.MaxQueuedRequests = orDefault(s.MaxQueuedRequests, DefaultMaxQueuedRequests)
 	s.MaxHeaderBytes = orDefault(s.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	if s.MaxBodyBytes <= 0 {
 		s.MaxBodyBytes = DefaultMaxBodyBytes
--- a/vbridged/server/entry.go
+++ b/vbridged/server/entry.go
@@ -29,15 +29,17 @@
 		}
 	}
 	settings := entry.Settings{
-		Instance:       own.Name,
-		Incarnation:    s.incarnation,
-		Zone:           own.Zone,
-		Peers:          zonePeers,
-		EntryCount:     len(s.settings.Peers) + 1,
-		SpilloverZones: spilloverZones,
-		MaxHeaderBytes: int(s.settings.Entry.MaxHeaderBytes),
-		MaxBodyBytes:   int64(s.settings.Entry.MaxBodyBytes),
-		Seed:           uint64(s.incarnation),
+		Instance:          own.Name,
+		Incarnation:       s.incarnation,
+		Zone:              own.Zone,
+		Peers:             zonePeers,
+		EntryCount:        len(s.settings.Peers) + 1,
+		SpilloverZones:    spilloverZones,
+		MaxRequestTime:    s.settings.Entry.MaxRequestTime,
+		MaxQueuedRequests: s.settings.Entry.MaxQueuedRequests,
+		MaxHeaderBytes:    int(s.settings.Entry.MaxHeaderBytes),
+		MaxBodyBytes:      int64(s.settings.Entry.MaxBodyBytes),
+		Seed:              uint64(s.incarnation),
 	}
 	ports := entry.Ports{
 		Clock:   s.clock,
