core/plan: failed runs lengthen a job's objective, and wide gangs begin earlier

A wide gang fails more often (0.5% a task), and after its first failed run it counted as late and came behind all others, although its objective grows with the runs that fail by its own fault; it also needs longer to find room. Change: the latest starts of a job follow its failed runs, which the replicated state counts; a gang counts as due up to 3 s earlier by its width. TestFailedRunsLengthenTheObjective fails without the first (15.7 s, bound 10 s).

--- a/core/plan/load_test.go
+++ b/core/plan/load_test.go
@@ -128,8 +128,11 @@
 	}
 	works := map[string]clock.Millis{}
 	sim.taskWork = func(task flow.Task, _ *fakeWorker) (clock.Millis, bool) {
-		k := kindOf[task.Job]
-		return clock.Millis(lognormal(sim.rng, float64(works[string(task.Job)]), k.uneven)), sim.rng.Float64() < k.failing
+		k, members := kindOf[task.Job], 1
+		if step := sim.stepOf(task); step.Gang {
+			members = step.Count // a gang fails with the first of its members
+		}
+		return clock.Millis(lognormal(sim.rng, float64(works[string(task.Job)]), k.uneven)), sim.rng.Float64() > math.Pow(1-k.failing, float64(members))
 	}
 	sim.callers = nil
 	for i := range max(3, workers*130/1000) {
--- a/core/plan/outcome_test.go
+++ b/core/plan/outcome_test.go
@@ -39,3 +39,34 @@
 		t.Errorf("%d gang members ended at their time-out, want none", sim.gangTimeouts)
 	}
 }
+
+// Guards against a job that counts as late, and is passed over by all others, because its own runs failed:
+// its objective follows from the work that it needs, failed runs included.
+func TestFailedRunsLengthenTheObjective(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.configure(newQueue("/a/"))
+	failures := 0
+	sim.taskWork = func(task flow.Task, _ *fakeWorker) (clock.Millis, bool) {
+		if task.Job == "failing" && failures < 1 {
+			failures++
+			return 2900, true
+		}
+		return 3 * clock.Second, false
+	}
+	sim.startLeader()
+	sim.addWorker("w0", workerSize)
+	sim.run(500)
+	step := flow.Step{Count: 4, Need: smallTask, Estimate: 3000, Gang: true}
+	// The objective is 7 s, so a run that begins after 4 s is late; with the failed run it is 10 s.
+	submittedAt := sim.now
+	sim.submit("/a/", "failing", step)
+	sim.run(100)
+	for i := range 8 {
+		sim.run(1000)
+		sim.submit("/a/", fmt.Sprintf("other%d", i), step)
+	}
+	sim.run(40 * clock.Second)
+	if took := sim.endedAt["failing"] - submittedAt; took > 10*clock.Second {
+		t.Errorf("the job whose run failed once took %d ms, want at most 10000", took)
+	}
+}
--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -52,6 +52,10 @@
 	// maxDepthForTickets is the number of steps that may wait ahead of a step whose first tickets are
 	// requested. With more, the tickets would expire before the step can be placed.
 	maxDepthForTickets = 32
+	// maxWideGangLead is how much earlier a gang of widestGang tasks or more counts as due. It is about the
+	// time in which it finds room at the worst load.
+	maxWideGangLead = 3 * clock.Second
+	widestGang      = 100
 	// priorityDelay is how much later a step counts as due for each priority number of its queue, up to
 	// maxDelayedPriority. It is about the time for which tasks keep a worker.
 	priorityDelay      = 3 * clock.Second
--- a/core/plan/pass.go
+++ b/core/plan/pass.go
@@ -19,7 +19,7 @@
 }
 
 func (p *Planner) rankOf(st *step) rank {
-	delay := priorityDelay * clock.Millis(min(max(st.job.Queue.Priority, 0), maxDelayedPriority))
+	delay := priorityDelay*clock.Millis(min(max(st.job.Queue.Priority, 0), maxDelayedPriority)) - st.wideGangLead()
 	switch {
 	case p.now <= st.latestOnTime:
 		return rank{0, st.latestOnTime + delay}
@@ -29,6 +29,15 @@
 	return rank{2, st.latestUseful + delay}
 }
 
+// wideGangLead returns how much earlier a gang counts as due because of its width: a wide gang needs more
+// time to find room, and fails more often, so it has to begin earlier to be served as often as others.
+func (st *step) wideGangLead() clock.Millis {
+	if !st.spec.Gang {
+		return 0
+	}
+	return maxWideGangLead * clock.Millis(min(st.spec.Count, widestGang)) / widestGang
+}
+
 // pass is the state of one placement pass over all waiting steps.
 type pass struct {
 	// schedulable holds the workers that may get tasks, by pool, sorted by gainedInPass, highest first.
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -97,6 +97,17 @@
 	return st.waitingCache
 }
 
+// failedWork estimates the time that the longest sequence of failed runs of the step has taken. A run fails
+// halfway on average.
+func (st *step) failedWork() clock.Millis {
+	record := st.record()
+	failed := record.FailedAttempts
+	for i := range record.Tasks {
+		failed = max(failed, record.Tasks[i].FailedAttempts)
+	}
+	return clock.Millis(failed) * st.spec.Estimate / 2
+}
+
 func (st *step) removeTask(t *task) {
 	st.waitingStale = true
 	if st.tasks[t.name.Index] == t {
@@ -105,12 +116,16 @@
 }
 
 // setLatestStarts computes by when the steps of an occurrence have to start. An occurrence that
-// takes longer than three times its objective has no value left.
+// takes longer than three times its objective has no value left. Runs that failed lengthen the objective:
+// it follows from the work that the job itself needs.
 func (j *job) setLatestStarts(steps []*step) {
 	var longest clock.Millis
 	for _, st := range steps {
 		longest = max(longest, st.criticalPath)
 	}
+	for _, st := range steps {
+		longest += st.failedWork()
+	}
 	objective := j.Queue.Target + clock.Millis(j.Queue.Stretch*float64(longest))
 	for _, st := range steps {
 		start := j.acceptedAt
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -263,6 +263,9 @@
 			p.enqueue(st)
 		}
 		st.waitingStale = true
+		if e.End == ledger.EndFailed && !j.HasEnded() {
+			j.setLatestStarts(j.occurrences[e.Task.Occurrence])
+		}
 		if j.HasEnded() {
 			p.closeJob(j, "job is over")
 		} else if st.record().TasksLeft == 0 {
