--- a/vbridged/fleet/metrics.go
+++ b/vbridged/fleet/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"vanillabridge/core/outbox"
 	"vanillabridge/core/plan"
 )
 
@@ -20,6 +21,8 @@
 	waitingSteps      *prometheus.GaugeVec
 	cpuCapacity       *prometheus.GaugeVec
 	workersConsidered prometheus.Gauge
+	workerCalls       *prometheus.GaugeVec
+	workerCallLimit   *prometheus.GaugeVec
 }
 
 // NewMetrics creates the metrics and registers them with r.
@@ -56,6 +59,8 @@
 		waitingSteps:      gauges("vb_waiting_steps", "Steps with waiting tasks, at the leader, by whether they can still end on time.", "hope"),
 		cpuCapacity:       gauges("vb_room_cores", "Processor room of open workers in cores, at the leader.", "state"),
 		workersConsidered: gauge("vb_looks", "How often the plan of this term considered a worker for a step."),
+		workerCalls:       gauges("vb_worker_calls", "Calls to workers at the leader: holds and orders in progress, and orders that wait for their turn.", "kind"),
+		workerCallLimit:   gauges("vb_worker_call_limit", "Limit of the holds and orders in progress, from the descriptors of the process.", "kind"),
 	}
 }
 
@@ -86,6 +91,14 @@
 	m.workersConsidered.Set(float64(stats.WorkersConsidered))
 }
 
+func (m *Metrics) setWorkerCalls(c workerCalls, limit outbox.Budget) {
+	m.workerCalls.WithLabelValues("hold").Set(float64(c.holds))
+	m.workerCalls.WithLabelValues("order").Set(float64(c.orders))
+	m.workerCalls.WithLabelValues("waiting").Set(float64(c.waitingOrders))
+	m.workerCallLimit.WithLabelValues("hold").Set(float64(limit.Holds))
+	m.workerCallLimit.WithLabelValues("order").Set(float64(limit.Orders))
+}
+
 func (m *Metrics) setRole(leads bool, term uint64) {
 	m.isLeader.Set(0)
 	if leads {
--- a/vbridged/fleet/orders.go
+++ b/vbridged/fleet/orders.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// workerCalls counts the calls to workers of a session.
+type workerCalls struct{ holds, orders, waitingOrders int }
+
+// countWorkerCalls returns the present calls to workers. The caller holds mu.
+func (s *session) countWorkerCalls() workerCalls {
+	return workerCalls{holds: len(s.holdSlots), orders: s.orders.InProgress(), waitingOrders: s.orders.Waiting()}
+}
+
 // workerCall returns the conditions of a call to a worker made now. The caller holds mu.
 func (d *Domain) workerCall(s *session) Call {
 	return Call{Fence: s.term, CloseConn: !s.budget.KeepsConnections(len(d.state.Workers()))}
