vbridged/fleet: a leader calls workers only while its lease is valid

A leader that was paused for some seconds learns only after it wakes that another one leads. Until then it renewed workers' leases from its clock as it is now, and repeated orders that had got no answer with a new expiry; the other leader counts the old leases as over by then and starts the tasks elsewhere. A worker that only the old leader reaches would have run them twice. Change: holds and orders are sent only while the leader lease of the group is valid; holds are due again after 50 ms, orders wait in the outbox and are not sent once they are too old.

--- a/vbridged/fleet/domain.go
+++ b/vbridged/fleet/domain.go
@@ -47,6 +47,8 @@
 	cancel     context.CancelFunc
 	wg         sync.WaitGroup
 	groupReady chan struct{} // closed once the field group is set
+	// leaderLease returns the expiry of the leader lease and its term; it is that of the group.
+	leaderLease func() (clock.Millis, uint64)
 
 	mu      sync.Mutex
 	state   *ledger.State
@@ -92,7 +94,7 @@
 		cancel()
 		return nil, err
 	}
-	d.group = g
+	d.group, d.leaderLease = g, g.Lease
 	close(d.groupReady)
 	d.registerHandlers()
 	return d, nil
--- a/vbridged/fleet/options.go
+++ b/vbridged/fleet/options.go
@@ -67,6 +67,9 @@
 	holdReplyGrace = 600 * clock.Millisecond
 	// holdPollInterval is the pause between two holds of a worker while descriptors are scarce.
 	holdPollInterval = 400 * clock.Millisecond
+	// leaderLeasePollInterval is the pause before a hold is due again that a leader without a valid lease did
+	// not send.
+	leaderLeasePollInterval = 50 * clock.Millisecond
 	// adviseTimeout limits a ticket call, which may wait for earlier calls of the same instance.
 	adviseTimeout = 5 * clock.Second
 	// attemptTimeout limits one attempt of a front to have the leader serve a request.
--- a/vbridged/fleet/orders.go
+++ b/vbridged/fleet/orders.go
@@ -32,7 +32,7 @@
 // sent. The caller holds mu.
 func (d *Domain) sendOrders(s *session) {
 	call := d.workerCall(s)
-	for {
+	for d.mayAct(s) {
 		order, ok := s.orders.Next(d.now())
 		if !ok {
 			break
@@ -52,6 +52,14 @@
 	return workerCalls{holds: len(s.holdSlots), orders: s.orders.InProgress(), waitingOrders: s.orders.Waiting()}
 }
 
+// mayAct reports whether this core certainly still leads, so that no other one can call workers. A process that
+// was paused learns only some time after it wakes that another leader has taken over; until then it would renew
+// leases, and repeat orders, that the other leader counts as over. The caller holds mu.
+func (d *Domain) mayAct(s *session) bool {
+	until, term := d.leaderLease()
+	return term == s.term && d.now() < until
+}
+
 // workerCall returns the conditions of a call to a worker made now. The caller holds mu.
 func (d *Domain) workerCall(s *session) Call {
 	return Call{Fence: s.term, CloseConn: !s.budget.KeepsConnections(len(d.state.Workers()))}
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -89,6 +89,10 @@
 		d.mu.Unlock()
 		return 0, false
 	}
+	if !d.mayAct(s) {
+		d.mu.Unlock()
+		return leaderLeasePollInterval, true
+	}
 	h, wait, ok := s.planner.NextHold(d.now(), incarnation)
 	call := d.workerCall(s)
 	d.mu.Unlock()
