Several orders for one worker at a time where descriptors allow it

Its commonest job starts ten tasks of 0.5 s, up to seven on one worker; orders that go one at a time begin them one round trip after the other, 60 ms each across regions. Change: the number of orders for one worker at a time follows from the order share of the descriptors: 8 with 48 workers, 3 with 350, 1 with 1,100, so that the large deployment keeps its bound. Tests: the property of core/outbox draws 1 to 3 orders for one worker.

--- a/core/outbox/budget.go
+++ b/core/outbox/budget.go
@@ -30,6 +30,17 @@
 	return Budget{Inbound: share(inboundPercent), Holds: share(holdsPercent), Orders: share(ordersPercent)}
 }
 
+// maxOrdersPerWorker bounds the orders for one worker at a time; a worker accepts 64 connections, and those
+// of a leader that has just been replaced may still be open.
+const maxOrdersPerWorker = 8
+
+// OrdersPerWorker returns how many orders for one worker may be in progress at a time: as many as its share
+// of the connections, since short tasks of one step on a far worker would start one round trip after the
+// other.
+func (b Budget) OrdersPerWorker(workers int) int {
+	return min(max(b.Orders/max(workers, 1), 1), maxOrdersPerWorker)
+}
+
 // KeepsConnections reports whether the connections to this many workers can stay open between calls:
 // one for the hold and one for orders each.
 func (b Budget) KeepsConnections(workers int) bool { return workers <= min(b.Holds, b.Orders) }
--- a/core/outbox/outbox.go
+++ b/core/outbox/outbox.go
@@ -22,9 +22,10 @@
 // Outbox holds the orders that wait to be sent. It is not safe for concurrent use.
 type Outbox[P any] struct {
 	maxInProgress int
+	maxPerWorker  int
 	inProgress    int
 	lanes         map[model.WorkerID]*lane[P]
-	// ready holds the workers with a waiting order and none in progress, those that wait longest first.
+	// ready holds the workers with a waiting order that may be sent, those that wait longest first.
 	ready   []model.WorkerID
 	waiting int
 	unsent  []Order[P] // expired or withdrawn since the last call of TakeUnsent
@@ -33,15 +34,18 @@
 // lane holds the orders of one worker.
 type lane[P any] struct {
 	urgent, normal []Order[P]
-	busy           bool // an order is in progress
+	inProgress     int
 	queued         bool // listed in Outbox.ready
 }
 
-// New returns an outbox that has at most maxInProgress orders in progress.
+// New returns an outbox that has at most maxInProgress orders in progress, and one for each worker.
 func New[P any](maxInProgress int) *Outbox[P] {
-	return &Outbox[P]{maxInProgress: max(maxInProgress, 1), lanes: map[model.WorkerID]*lane[P]{}}
+	return &Outbox[P]{maxInProgress: max(maxInProgress, 1), maxPerWorker: 1, lanes: map[model.WorkerID]*lane[P]{}}
 }
 
+// SetMaxPerWorker sets the number of orders for one worker that may be in progress at a time, at least 1.
+func (o *Outbox[P]) SetMaxPerWorker(n int) { o.maxPerWorker = max(n, 1) }
+
 // Waiting returns the number of orders that wait to be sent.
 func (o *Outbox[P]) Waiting() int { return o.waiting }
 
@@ -77,35 +81,41 @@
 		l.queued = false
 		o.expireLane(now, l)
 		if l.isEmpty() {
-			delete(o.lanes, id)
+			o.discardIdle(id, l)
 			continue
 		}
-		l.busy = true
+		l.inProgress++
 		o.inProgress++
 		o.waiting--
-		return l.pop(), true
+		order := l.pop()
+		o.enqueue(id, l)
+		return order, true
 	}
 	return Order[P]{}, false
 }
 
-// Finish ends the order in progress of a worker.
+// Finish ends an order in progress of a worker.
 func (o *Outbox[P]) Finish(id model.WorkerID) {
 	l := o.lanes[id]
-	if l == nil || !l.busy {
+	if l == nil || l.inProgress == 0 {
 		return
 	}
-	l.busy = false
+	l.inProgress--
 	o.inProgress--
-	if l.isEmpty() {
+	o.discardIdle(id, l)
+	o.enqueue(id, l)
+}
+
+// discardIdle forgets a lane without orders.
+func (o *Outbox[P]) discardIdle(id model.WorkerID, l *lane[P]) {
+	if l.isEmpty() && l.inProgress == 0 && !l.queued {
 		delete(o.lanes, id)
-		return
 	}
-	o.enqueue(id, l)
 }
 
-// enqueue lists a lane as ready unless it is listed already or an order is in progress.
+// enqueue lists a lane as ready if it has a waiting order that may be sent and is not listed already.
 func (o *Outbox[P]) enqueue(id model.WorkerID, l *lane[P]) {
-	if l.busy || l.queued {
+	if l.isEmpty() || l.inProgress >= o.maxPerWorker || l.queued {
 		return
 	}
 	l.queued = true
--- a/core/outbox/outbox_test.go
+++ b/core/outbox/outbox_test.go
@@ -83,6 +83,9 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		budget := outbox.DivideDescriptors(1024)
 		o := outbox.New[int](budget.Orders)
+		perWorker := rapid.IntRange(1, 3).Draw(rt, "orders per worker")
+		o.SetMaxPerWorker(perWorker)
+		inProgress := map[model.WorkerID]int{}
 		const ttl = 1500
 		silent := rapid.IntRange(0, 300).Draw(rt, "silent")
 		answersAt := map[clock.Millis][]model.WorkerID{}
@@ -113,6 +116,7 @@
 			}
 			for _, id := range answersAt[now] {
 				o.Finish(id)
+				inProgress[id]--
 			}
 			o.Expire(now)
 			settle(o.TakeUnsent(), "unsent")
@@ -122,6 +126,9 @@
 					break
 				}
 				settle([]order{next}, "sent")
+				if inProgress[next.Worker]++; inProgress[next.Worker] > perWorker {
+					rt.Fatalf("%d orders for worker %s are in progress, want at most %d", inProgress[next.Worker], next.Worker, perWorker)
+				}
 				if now >= next.SendBefore {
 					rt.Fatalf("order %d is sent %d ms too late", next.Payload, now-next.SendBefore)
 				}
@@ -161,6 +168,9 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("budgets (-want +got):\n%s", diff)
 	}
+	if diff := cmp.Diff([]int{8, 3, 1, 1}, []int{got[3].OrdersPerWorker(48), got[3].OrdersPerWorker(350), got[3].OrdersPerWorker(1100), got[3].OrdersPerWorker(5000)}); diff != "" {
+		t.Errorf("orders for one worker at a time (-want +got):\n%s", diff)
+	}
 	if !got[3].KeepsConnections(1100) || got[2].KeepsConnections(1100) {
 		t.Error("connections to 1,100 workers: want them kept with 4,124 descriptors and not with 1,024")
 	}
--- a/vbridged/fleet/orders.go
+++ b/vbridged/fleet/orders.go
@@ -32,6 +32,7 @@
 // sent. The caller holds mu.
 func (d *Domain) sendOrders(s *session) {
 	call := d.workerCall(s)
+	s.orders.SetMaxPerWorker(s.budget.OrdersPerWorker(len(d.state.Workers())))
 	for d.mayAct(s) {
 		order, ok := s.orders.Next(d.now())
 		if !ok {
