Up to eight orders for one worker at a time; connections beyond its share are closed

Change: where at least two connections for orders can stay open a worker (not with 1,100 workers), up to eight orders are in progress for one, and the calls beyond the share close their connection.

--- a/core/outbox/budget.go
+++ b/core/outbox/budget.go
@@ -34,11 +34,19 @@
 // of a leader that has just been replaced may still be open.
 const maxOrdersPerWorker = 8
 
-// OrdersPerWorker returns how many orders for one worker may be in progress at a time: as many as its share
-// of the connections, since short tasks of one step on a far worker would start one round trip after the
-// other.
+// OrdersPerWorker returns how many orders for one worker may be in progress at a time, since short tasks of
+// one step on a far worker would otherwise start one round trip after the other. With more workers than half
+// of the connections for orders it is 1.
 func (b Budget) OrdersPerWorker(workers int) int {
-	return min(max(b.Orders/max(workers, 1), 1), maxOrdersPerWorker)
+	if b.KeptPerWorker(workers) < 2 {
+		return 1
+	}
+	return maxOrdersPerWorker
+}
+
+// KeptPerWorker returns how many connections for orders to one worker may stay open between orders.
+func (b Budget) KeptPerWorker(workers int) int {
+	return min(b.Orders/max(workers, 1), maxOrdersPerWorker)
 }
 
 // KeepsConnections reports whether the connections to this many workers can stay open between calls:
--- a/core/outbox/outbox.go
+++ b/core/outbox/outbox.go
@@ -16,7 +16,9 @@
 	Urgent bool
 	// SendBefore is the time from which on the order is no longer sent.
 	SendBefore clock.Millis
-	Payload    P
+	// Beside is the number of other orders for the worker that are in progress. It is set by Next.
+	Beside  int
+	Payload P
 }
 
 // Outbox holds the orders that wait to be sent. It is not safe for concurrent use.
@@ -88,6 +90,7 @@
 		o.inProgress++
 		o.waiting--
 		order := l.pop()
+		order.Beside = l.inProgress - 1
 		o.enqueue(id, l)
 		return order, true
 	}
--- a/vbridged/fleet/orders.go
+++ b/vbridged/fleet/orders.go
@@ -32,13 +32,14 @@
 // sent. The caller holds mu.
 func (d *Domain) sendOrders(s *session) {
 	call := d.workerCall(s)
-	s.orders.SetMaxPerWorker(s.budget.OrdersPerWorker(len(d.state.Workers())))
+	workers := len(d.state.Workers())
+	s.orders.SetMaxPerWorker(s.budget.OrdersPerWorker(workers))
 	for d.mayAct(s) {
 		order, ok := s.orders.Next(d.now())
 		if !ok {
 			break
 		}
-		go d.sendOrder(s, call, order.Payload)
+		go d.sendOrder(s, Call{Fence: call.Fence, CloseConn: call.CloseConn || order.Beside >= max(1, s.budget.KeptPerWorker(workers))}, order.Payload)
 	}
 	for _, order := range s.orders.TakeUnsent() {
 		d.executeDecisions(s, s.planner.Step(d.now(), d.orderAnswer(s, order.Payload, plan.VerdictNotSent, 0, 0)))
