core/plan: calls that follow each other name different workers with as many free slots

The index of free workers made every call begin with the emptiest worker, where the list before began each call elsewhere: concurrent steps asked about the same workers, which are taken when the answers come. Change: the workers found are rotated before they are sorted by free slots.

--- a/core/plan/further.go
+++ b/core/plan/further.go
@@ -47,6 +47,7 @@
 		return len(list) < maxTicketCandidates && considered < maxWorkersSearched
 	})
 	p.workersConsidered += uint64(considered)
+	rotate(list, int(p.lastCallNumber)*ticketWorkerStride)
 	p.unknownScratch = list
 	rate := p.approvalRate(st.job.Queue.Name)
 	if minSlots > 0 && float64(total)*rate < float64(p.missingSlots(ps, st)) {
--- a/core/plan/index.go
+++ b/core/plan/index.go
@@ -1,6 +1,10 @@
 package plan
 
-import "vanillabridge/core/model"
+import (
+	"slices"
+
+	"vanillabridge/core/model"
+)
 
 const (
 	// freeBucketSize is the width of a bucket of freeIndex.
@@ -27,6 +31,19 @@
 	return index
 }
 
+// rotate moves the first elements of a list to its end, as many as offset modulo its length. Calls that follow
+// each other then prefer different ones among workers with as many free slots: the emptiest of all would be
+// named by every call, and taken when its answer comes.
+func rotate(list []workerSlots, offset int) {
+	if len(list) == 0 {
+		return
+	}
+	n := offset % len(list)
+	slices.Reverse(list[:n])
+	slices.Reverse(list[n:])
+	slices.Reverse(list)
+}
+
 // visit calls f for the workers with at least the given free processor capacity, those with most of it
 // first, until f returns false. Within a bucket it begins at a place that depends on offset.
 func (index *freeIndex) visit(atLeast model.Millicores, offset int, f func(*worker) bool) {
