vbridged/group: the full-disk test leaves the leader its disk in its second part

The trace names the leader as the replica whose disk the test fills in its second part: a proposal that a leader has taken then is indeterminate, which the first part of the test allows, and it hid what this part checks: that the replica with space again makes up a majority.

--- a/vbridged/group/fault_test.go
+++ b/vbridged/group/fault_test.go
@@ -99,12 +99,18 @@
 		}
 		stores[full].setFull(false)
 		time.Sleep(2 * time.Second)
-		// Without one of the others, the replica is needed for a majority.
-		stores[others[0]].setFull(true)
-		if err := c.propose(others[1], "with space again"); err != nil {
+		// Without one of the others, the replica is needed for a majority. The leader keeps its disk: a
+		// proposal that it has taken when its disk fills up is indeterminate, as above.
+		lead := c.waitForLeader()
+		away := others[0]
+		if away == lead {
+			away = others[1]
+		}
+		stores[away].setFull(true)
+		if err := c.propose(lead, "with space again"); err != nil {
 			t.Errorf("proposal after the disk has space again: %v", err)
 		}
-		stores[others[0]].setFull(false)
+		stores[away].setFull(false)
 	})
 }
 
