--- a/vbridged/config/config_test.go
+++ b/vbridged/config/config_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -65,13 +66,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	passedWhole := []string{"Log", "Trace", "TLS"} // their users have the section, not the settings
 	sections := reflect.TypeFor[config.Settings]()
 	for section := range sections.Fields() {
 		if section.Type.Kind() != reflect.Struct {
 			continue // the sections with a list of instances
 		}
 		for field := range section.Type.Fields() {
-			if !strings.Contains(code.String(), "."+field.Name) {
+			use := "." + section.Name + "." + field.Name
+			if slices.Contains(passedWhole, section.Name) {
+				use = "." + field.Name
+			}
+			if !strings.Contains(code.String(), use) {
 				t.Errorf("%s.%s is read nowhere outside package config", section.Name, field.Name)
 			}
 		}
