vbridged/fleet: the test of the paused leader queues its order once

It queued the order again for its second part, so that two starts could be recorded before the hold, and it reads two calls. With one order there are exactly two calls; the checks are the same.

--- a/vbridged/fleet/orders_test.go
+++ b/vbridged/fleet/orders_test.go
@@ -59,8 +59,6 @@
 	d.session = s
 	act := func() {
 		d.mu.Lock()
-		task := flow.Task{Job: "j"}
-		queueOrder(s, w.ID, task, 1, c.now+startSendTimeout, false, plan.Start{Worker: w, Task: task, Attempt: 1})
 		d.sendOrders(s)
 		d.mu.Unlock()
 		if _, ok := d.sendNextHold(s, plan.Incarnation{ID: w.ID, StartedAt: w.StartedAt}); !ok {
@@ -68,6 +66,8 @@
 		}
 	}
 	c.now = 7000 // the process was paused
+	task := flow.Task{Job: "j"}
+	queueOrder(s, w.ID, task, 1, c.now+startSendTimeout, false, plan.Start{Worker: w, Task: task, Attempt: 1})
 	act()
 	select {
 	case call := <-r.calls:
