core/plan: the log tells attempts that may have crashed their worker from those lost beside it

Every attempt that was lost with its worker ended as 'lost: nothing listens at its address', so the log could not tell a task that crashes its workers from its neighbours, nor a bad task from bad workers.

A crash of a worker now has one line with the number of attempts lost with it, and each of these says whether the worker had confirmed it for startCrashWindow (from the worker's own clock in its reports), or how long after the start order the worker stopped answering. Nothing else changes. The simulated workers break the connection of a pending hold when their process ends, as a real process does; before, the hold timed out.

--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -20,7 +20,7 @@
 	if w == nil {
 		return
 	}
-	w.refusedConns, w.unresponsive, w.awaitsReport = 0, false, false
+	w.refusedConns, w.unresponsive, w.awaitsReport, w.failingSince = 0, false, false, 0
 	w.nextHoldAt = now + minHoldInterval
 	if !w.hasReported {
 		w.hasReported = true
@@ -39,7 +39,7 @@
 	for _, r := range e.Running {
 		key := attemptKey{r.Task, r.Attempt}
 		listed[key] = true
-		p.handleRunningAttempt(w, key, r)
+		p.handleRunningAttempt(w, key, r, e.Clock)
 	}
 	if len(e.Finished) < truncatedEndsLimit {
 		for _, t := range w.selectTasks(func(t *task) bool {
@@ -63,7 +63,7 @@
 }
 
 // handleRunningAttempt updates the progress of a running attempt, and stops one that is unknown or settled.
-func (p *Planner) handleRunningAttempt(w *worker, key attemptKey, r RunningAttempt) {
+func (p *Planner) handleRunningAttempt(w *worker, key attemptKey, r RunningAttempt, workerClock clock.Millis) {
 	t := w.tasks[key]
 	if t == nil {
 		if p.now-w.strayStopSentAt[key] >= stopResendInterval {
@@ -77,6 +77,7 @@
 		t.stage, t.mayStillStart = stageRunning, false
 		t.startedAt, t.progressedAt = p.now, p.now
 	}
+	t.noteSurvival(workerClock)
 	if r.Percent != t.percent {
 		t.percent, t.progressedAt = r.Percent, p.now
 		return
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -37,11 +37,14 @@
 	startsSent    int          // number of start orders sent
 	startSentAt   clock.Millis // when the last start order was sent; before that, when the attempt was placed
 	startedAt     clock.Millis
-	stopReason    string // empty unless the attempt was ordered to stop
-	stopSentAt    clock.Millis
-	percent       int
-	progressedAt  clock.Millis // when percent last changed
-	ticket        string
+	// firstSeenClock is the worker's clock when it confirmed the start or first reported the attempt, or 0.
+	firstSeenClock clock.Millis
+	survivedStart  bool   // the worker was up for startCrashWindow after it had confirmed the start
+	stopReason     string // empty unless the attempt was ordered to stop
+	stopSentAt     clock.Millis
+	percent        int
+	progressedAt   clock.Millis // when percent last changed
+	ticket         string
 }
 
 func (t *task) key() attemptKey { return attemptKey{t.name, t.attempt} }
@@ -170,6 +173,7 @@
 	case VerdictDone:
 		t.stage, t.mayStillStart, t.absenceProvenAfter = stageRunning, false, e.Clock
 		t.startedAt, t.progressedAt = p.now, p.now
+		t.noteSurvival(e.Clock)
 		t.step.job.started = true
 		if t.stopReason != "" {
 			p.sendStop(t)
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -42,6 +42,8 @@
 	refusedConns                      int
 	// unresponsive is set while the last hold got no answer.
 	unresponsive bool
+	// failingSince is when the first hold since the last report failed, or 0.
+	failingSince clock.Millis
 	// awaitsReport is set when an order could not be sent, until the next report.
 	awaitsReport bool
 	addedAt      clock.Millis // when the planner learned of this incarnation, on the leader's clock
@@ -95,7 +97,7 @@
 		return
 	}
 	if old != nil {
-		p.markWorkerLost(old, "worker started again")
+		p.markWorkerCrashed(old, "worker started again")
 	}
 	w := &worker{
 		Worker: announced, tasks: map[attemptKey]*task{}, addedAt: now, strayStopSentAt: map[attemptKey]clock.Millis{},
@@ -145,13 +147,16 @@
 		return
 	}
 	w.nextHoldAt = now + holdRetryDelay
+	if w.failingSince == 0 {
+		w.failingSince = now
+	}
 	switch e.Cause {
 	case FailureOtherIncarnation:
-		p.markWorkerLost(w, "another incarnation answered at its address")
+		p.markWorkerCrashed(w, "another incarnation answered at its address")
 		p.propose(ledger.RemoveWorker{ID: w.ID, StartedAt: w.StartedAt})
 	case FailureRefused:
 		if w.refusedConns++; w.refusedConns >= maxRefusedConns {
-			p.markWorkerLost(w, "nothing listens at its address")
+			p.markWorkerCrashed(w, "nothing listens at its address")
 			p.propose(ledger.RemoveWorker{ID: w.ID, StartedAt: w.StartedAt})
 		}
 	case FailureNoAnswer:
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -601,7 +601,11 @@
 
 func (sim *simulation) answerHold(term uint64, incarnation plan.Incarnation, h plan.Hold, f *fakeWorker, sentAt, receivedAt clock.Millis) {
 	if !sim.isReachable(f) {
-		sim.after(h.MaxWait+600, func() {
+		failsAfter := h.MaxWait + 600
+		if !f.alive && !f.vanishes {
+			failsAfter = f.transit() // the end of a process closes its connections
+		}
+		sim.after(failsAfter, func() {
 			sim.step(term, plan.HoldFailed{Worker: incarnation, Cause: plan.FailureNoAnswer})
 			sim.sendHold(term, incarnation)
 		})
