core/plan: failing tests of tasks that crash their workers

On the present code a task that ends the process of each worker that starts it is started again within a second of each crash, in every term, and tasks beside it are placed on the next worker together with it.

--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -76,8 +76,23 @@
 	logLines       []string
 	endedAt        map[model.JobID]clock.Millis
 	steps          map[model.JobID][]flow.Step // as first submitted; the state drops those of settled jobs
+	// crashesWorker selects tasks that end the process of each worker that starts them; it may be nil.
+	crashesWorker func(flow.Task) bool
+	// crashesUnder counts the workers that crashed while they ran a task, startsAfterCrashes the later starts
+	// of a task that ends workers and has ended maxCrashesBeforeBudget of them.
+	crashesUnder       map[flow.Task]int
+	startsAfterCrashes map[flow.Task]int
 }
 
+// A task that ends the workers that start it may be started fewer than startBudgetAfterCrashes times once it
+// has ended maxCrashesBeforeBudget of them. The users state both.
+const (
+	maxCrashesBeforeBudget  = 3
+	startBudgetAfterCrashes = 3
+	crashDelay              = 10 * clock.Millisecond // from the start of such a task to the end of the process
+	crashRestartDelay       = 3300 * clock.Millisecond
+)
+
 type event struct {
 	at  clock.Millis
 	seq int
@@ -144,6 +159,7 @@
 		workers: map[model.WorkerID]*fakeWorker{}, succeeded: map[flow.Task]bool{}, restartedOn: map[flow.Task]model.WorkerID{}, ackedAt: map[flow.Task]clock.Millis{},
 		callerBusyUntil: map[model.Instance]clock.Millis{}, starts: map[flow.Task]int{}, byStep: map[string][]member{}, endedAt: map[model.JobID]clock.Millis{}, ticketCallTime: 40,
 		steps: map[model.JobID][]flow.Step{}, callers: []model.Instance{"a", "b", "c"},
+		crashesUnder: map[flow.Task]int{}, startsAfterCrashes: map[flow.Task]int{},
 	}
 	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 500, false }
 	sim.isPermitted = func(string, model.WorkerID) bool { return true }
@@ -384,6 +400,7 @@
 	r := &fakeAttempt{task: d.Task, attempt: d.Attempt, startedAt: sim.now}
 	f.attempts[k] = r
 	sim.starts[d.Task]++
+	sim.crashIfDeadly(f, d.Task)
 	sim.byStep[d.Task.StepName()] = append(sim.members(d.Task), member{f, r})
 	if step := sim.stepOf(d.Task); step.Gang {
 		sim.after(gangTimeout, func() {
@@ -399,6 +416,24 @@
 	return plan.VerdictDone
 }
 
+// crashIfDeadly ends the process of a worker shortly after the start of a task that does so, and fails the test
+// if such a task was started too often.
+func (sim *simulation) crashIfDeadly(f *fakeWorker, t flow.Task) {
+	if sim.crashesWorker == nil || !sim.crashesWorker(t) {
+		return
+	}
+	if sim.crashesUnder[t] >= maxCrashesBeforeBudget {
+		if sim.startsAfterCrashes[t]++; sim.startsAfterCrashes[t] >= startBudgetAfterCrashes {
+			sim.failf("task %s is started %d times more after it has ended %d workers", t, startBudgetAfterCrashes, maxCrashesBeforeBudget)
+		}
+	}
+	sim.after(crashDelay, func() {
+		if f.alive {
+			sim.crash(f, crashRestartDelay)
+		}
+	})
+}
+
 func (sim *simulation) stepOf(t flow.Task) flow.Step { return sim.steps[t.Job][t.Step] }
 
 // checkStart fails the test if a start violates a guarantee of the planner.
@@ -674,6 +709,9 @@
 // crash stops a worker and later adds another one at its address.
 func (sim *simulation) crash(f *fakeWorker, restartDelay clock.Millis) {
 	f.alive = false
+	for _, r := range f.attempts {
+		sim.crashesUnder[r.task]++
+	}
 	sim.after(restartDelay, func() {
 		next := sim.addWorker(string(f.ID)+"'", f.Capacity, f.Labels...)
 		next.Address = f.Address
