core/plan, core/ledger: a task that crashes its workers is isolated, and its job fails

Cause: the end of an attempt whose worker crashed was 'lost'. It counted towards no limit and left no mark in the replicated state, so every leader placed the task again at once, beside the same neighbours. The class of fault: work that is repeated without a record of the damage that it did.

Change: the state counts the crashes under each task (ends 'worker crashed at start' and 'worker crashed', committed before the worker is removed). A task with a crash at its start is a suspect: it starts on a worker on which no task of another job is starting, and which starts nothing else until it is seen up for 0.5 s. A second crash then proves the cause, and the job fails. A start without a confirmation proves nothing, but five crashes of any kind end the job as well, so that a task is started at most twice after three crashes.

--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -120,8 +120,14 @@
 	EndGangStopped
 	// EndGangTimeout means that the other members of the gang did not start in time.
 	EndGangTimeout
-	// EndLost means that the incarnation of the worker ended, or that the attempt never started.
+	// EndLost means that the attempt never started, or that its worker could not be reached until the lease had
+	// expired, or has left.
 	EndLost
+	// EndStartCrash means that the worker's process ended while it started the attempt.
+	EndStartCrash
+	// EndWorkerCrash means that the worker's process ended when the attempt was, or may have been, on it for a
+	// short time.
+	EndWorkerCrash
 )
 
 // String returns the text of the end in logs.
@@ -141,6 +147,10 @@
 		return "alone"
 	case EndLost:
 		return "lost"
+	case EndStartCrash:
+		return "worker crashed at start"
+	case EndWorkerCrash:
+		return "worker crashed"
 	}
 	return "unknown"
 }
--- a/core/ledger/job.go
+++ b/core/ledger/job.go
@@ -147,16 +147,17 @@
 	j.Assigned = true
 }
 
-// settle records the end of an attempt. It has no effect if the attempt is not the assigned one.
-func (j *Job) settle(e AttemptEnd) {
+// settle records the end of an attempt, and reports whether the task still had to be done. It has no effect if
+// the attempt is not the assigned one.
+func (j *Job) settle(e AttemptEnd) bool {
 	st, ts := j.FindTask(e.Task)
 	if ts == nil || !ts.Assigned || ts.Attempt != e.Attempt {
-		return
+		return false
 	}
 	spec := j.Definition.Steps[e.Task.Step]
 	ts.Assigned = false
 	if ts.Done {
-		return
+		return false
 	}
 	if e.Checkpoint != "" {
 		ts.Checkpoint = e.Checkpoint
@@ -164,10 +165,9 @@
 	}
 	switch e.End {
 	case EndDone:
-		if spec.LongRunning {
-			return
+		if !spec.LongRunning {
+			j.markDone(st, ts, spec)
 		}
-		j.markDone(st, ts, spec)
 	case EndFailed:
 		ts.FailedAttempts++
 		failed := ts.FailedAttempts
@@ -182,6 +182,7 @@
 			j.Failed = true
 		}
 	}
+	return true
 }
 
 // markDone marks a task as done. The success of one member of a gang completes the whole gang.
--- a/core/ledger/state.go
+++ b/core/ledger/state.go
@@ -31,6 +31,7 @@
 	workers map[model.WorkerID]flow.Worker
 	// pendingByQueue counts the pending jobs of each queue. It is derived from jobs.
 	pendingByQueue map[queueKey]int
+	crashes        map[model.JobID]map[flow.Task]Crashes // of jobs that are not settled
 	// latestTime is the highest time in any command. Jobs get it as the time of their end.
 	latestTime clock.Millis
 }
@@ -44,6 +45,7 @@
 func New() *State {
 	return &State{
 		jobs: map[model.JobID]*Job{}, workers: map[model.WorkerID]flow.Worker{}, pendingByQueue: map[queueKey]int{},
+		crashes: newCrashes(),
 	}
 }
 
@@ -61,6 +63,7 @@
 	}
 	if j.HasEnded() && !j.hasAssignedTasks() {
 		j.dropDetails()
+		delete(s.crashes, j.Definition.ID)
 	}
 	switch after := j.isPending(); {
 	case before && !after:
@@ -109,7 +112,11 @@
 		s.latestTime = max(s.latestTime, c.Now)
 		for _, e := range c.Ends {
 			if j := s.jobs[e.Task.Job]; j != nil {
-				s.updateJob(j, func() { j.settle(e) })
+				s.updateJob(j, func() {
+					if j.settle(e) {
+						s.recordCrash(j, e, c.Now)
+					}
+				})
 			}
 		}
 	case PruneJobs:
@@ -186,6 +193,16 @@
 	Jobs    map[model.JobID]*Job
 	Workers map[model.WorkerID]flow.Worker
 	Now     clock.Millis
+	Crashes []Crashes
+}
+
+// snapshotBeforeCrashes is the encoded form that earlier versions wrote, without the records of crashes.
+type snapshotBeforeCrashes struct {
+	_       struct{} `cbor:",toarray"`
+	Config  flow.Config
+	Jobs    map[model.JobID]*Job
+	Workers map[model.WorkerID]flow.Worker
+	Now     clock.Millis
 }
 
 var (
@@ -203,7 +220,7 @@
 
 // Snapshot returns the encoding of the state. Equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
-	data, err := encoder.Marshal(snapshot{Config: s.config, Jobs: s.jobs, Workers: s.workers, Now: s.latestTime})
+	data, err := encoder.Marshal(snapshot{Config: s.config, Jobs: s.jobs, Workers: s.workers, Now: s.latestTime, Crashes: s.crashList()})
 	if err != nil {
 		return nil, fault.Wrap(fault.ErrInvalid, "encode snapshot: %v", err)
 	}
@@ -214,7 +231,11 @@
 func (s *State) Restore(data []byte) error {
 	var restored snapshot
 	if err := decoder.Unmarshal(data, &restored); err != nil {
-		return fault.Wrap(fault.ErrCorrupt, "decode snapshot: %v", err)
+		var earlier snapshotBeforeCrashes
+		if decoder.Unmarshal(data, &earlier) != nil {
+			return fault.Wrap(fault.ErrCorrupt, "decode snapshot: %v", err)
+		}
+		restored = snapshot{Config: earlier.Config, Jobs: earlier.Jobs, Workers: earlier.Workers, Now: earlier.Now}
 	}
 	*s = *New()
 	s.config, s.latestTime = restored.Config, restored.Now
@@ -224,6 +245,7 @@
 			s.pendingByQueue[queueKeyOf(j.Queue)]++
 		}
 	}
+	s.restoreCrashes(restored.Crashes)
 	if restored.Workers != nil {
 		s.workers = restored.Workers
 	}
--- a/core/plan/crash.go
+++ b/core/plan/crash.go
@@ -16,9 +16,12 @@
 	if t.firstSeenClock == 0 {
 		t.firstSeenClock = workerClock
 	}
-	t.survivedStart = t.survivedStart || workerClock-t.firstSeenClock >= startCrashWindow
+	t.survivedFor = max(t.survivedFor, workerClock-t.firstSeenClock)
 }
 
+// survivedStart reports whether the worker was up for startCrashWindow after it had confirmed the start.
+func (t *task) survivedStart() bool { return t.survivedFor >= startCrashWindow }
+
 // markWorkerCrashed ends all attempts of an incarnation whose process has ended. A worker that was leaving
 // has ended as planned.
 func (p *Planner) markWorkerCrashed(w *worker, cause string) {
@@ -28,17 +31,32 @@
 	}
 	w.lost, w.wasSchedulable = true, false
 	attempts := w.selectTasks(anyTask)
-	justStarted := 0
+	starting := 0
 	for _, t := range attempts {
-		if !t.survivedStart {
-			justStarted++
+		end := t.crashEnd()
+		if end == ledger.EndStartCrash {
+			starting++
 		}
-		p.endTask(t, ledger.EndLost, "", p.describeCrash(t, cause))
+		p.endTask(t, end, "", p.describeCrash(t, cause))
 	}
 	p.logEvent(LogEvent{
 		Event: "worker crashed", Worker: w.ID, Age: p.sinceFailing(w),
-		Cause: fmt.Sprintf("%s; %d attempts, %d of them just started", cause, len(attempts), justStarted),
+		Cause: fmt.Sprintf("%s; %d attempts, %d of them just started", cause, len(attempts), starting),
 	})
+	// A leader that knows the worker only as removed could not tell that it has crashed under its tasks.
+	p.proposeCollected()
+}
+
+// crashEnd returns how an attempt has ended by a crash of its worker. Only a confirmed start is evidence against
+// the task: the worker may have crashed before an order without an answer arrived.
+func (t *task) crashEnd() ledger.End {
+	switch {
+	case t.stage == stageAssigning, t.survivedFor >= lateCrashWindow:
+		return ledger.EndLost
+	case t.firstSeenClock != 0 && (!t.survivedStart() || t.onProbation()):
+		return ledger.EndStartCrash
+	}
+	return ledger.EndWorkerCrash
 }
 
 // describeCrash says how long before the crash of its worker an attempt was started.
@@ -46,10 +64,10 @@
 	switch {
 	case t.stage == stageAssigning:
 		return "worker crashed before the start was ordered: " + cause
-	case t.survivedStart:
-		return "worker crashed later than its start: " + cause
+	case t.survivedStart():
+		return cause
 	}
-	return fmt.Sprintf("worker crashed within %s of its start order: %s", p.now-p.sinceFailing(t.worker)-t.startSentAt, cause)
+	return fmt.Sprintf("within %s of its start order: %s", p.now-p.sinceFailing(t.worker)-t.startSentAt, cause)
 }
 
 // sinceFailing returns the time since a worker stopped answering, or 0 if that is unknown.
--- a/core/plan/gang.go
+++ b/core/plan/gang.go
@@ -15,7 +15,7 @@
 	if count == 0 {
 		return
 	}
-	if fits && (st.accumulates || p.hasNewCapacity(ps, st)) {
+	if (fits && (st.accumulates || p.hasNewCapacity(ps, st))) || st.waitingSuspects() > 0 {
 		if list := p.chooseGangWorkers(ps, st, count, permissionValid); list != nil {
 			p.assignGang(st, list)
 			return
@@ -39,6 +39,7 @@
 	if !fits {
 		return
 	}
+	count -= st.waitingSuspects() // their workers are isolated instead
 	list := p.gatherWorkers(ps, st, count, permissionExpired)
 	p.reserve(st, list)
 	if len(list) >= int(ticketRenewalShare*float64(count)) && p.anyTicketExpired(st, list) {
@@ -75,12 +76,36 @@
 	return st.tickets.ticketed
 }
 
-// chooseGangWorkers returns a worker for each task of a gang, or nil if not all of them fit.
+// chooseGangWorkers returns a worker for each task of a gang in the order of their index, or nil if not all of them
+// fit.
 func (p *Planner) chooseGangWorkers(ps *pass, st *step, count int, minimum permission) []*worker {
-	list := p.gatherWorkers(ps, st, count, minimum)
-	if len(list) < count {
+	if st.waitingSuspects() == 0 {
+		list := p.gatherWorkers(ps, st, count, minimum)
+		if len(list) < count {
+			return nil
+		}
+		return list
+	}
+	forSuspects, ok := p.suspectWorkers(ps, st, minimum)
+	if !ok {
+		return nil
+	}
+	p.reserve(st, forSuspects)
+	others := p.gatherWorkers(ps, st, count-len(forSuspects), minimum)
+	p.releaseReservationsInPass(st)
+	if len(forSuspects)+len(others) < count {
 		return nil
 	}
+	var list []*worker
+	for _, index := range st.waitingTasks() {
+		from := &others
+		if st.suspects[index] {
+			from = &forSuspects
+			p.isolate(forSuspects[0], st)
+		}
+		list = append(list, (*from)[0])
+		*from = (*from)[1:]
+	}
 	return list
 }
 
--- a/core/plan/gauge.go
+++ b/core/plan/gauge.go
@@ -13,6 +13,8 @@
 	// WaitingSteps counts the steps with waiting tasks by class of their rank: those that can still meet the
 	// objective, those that can still end within three times the objective, and the rest.
 	WaitingSteps [3]int
+	// IsolatedWorkers counts the workers that are kept for suspects, WaitingSuspects the suspects that wait.
+	IsolatedWorkers, WaitingSuspects int
 	// TicketCalls counts the ticket calls in progress, BusyCallers the callers that are busy with a call.
 	TicketCalls, BusyCallers int
 	// WorkersConsidered counts how often a worker was considered for a step so far.
@@ -21,7 +23,7 @@
 
 // Stats returns the current statistics of the planner.
 func (p *Planner) Stats() Stats {
-	stats := Stats{Workers: len(p.workers), TicketCalls: len(p.ticketCalls), WorkersConsidered: p.workersConsidered}
+	stats := Stats{Workers: len(p.workers), TicketCalls: len(p.ticketCalls), WorkersConsidered: p.workersConsidered, IsolatedWorkers: len(p.isolated)}
 	for _, w := range p.workers {
 		if w.wasSchedulable {
 			stats.SchedulableWorkers++
@@ -30,6 +32,7 @@
 	}
 	for _, st := range p.ready {
 		stats.WaitingSteps[p.rankOf(st).class]++
+		stats.WaitingSuspects += st.waitingSuspects()
 	}
 	for _, c := range p.callers {
 		if c.busyUntil > p.now {
--- a/core/plan/pass.go
+++ b/core/plan/pass.go
@@ -50,13 +50,14 @@
 	byFree            map[string]*freeIndex       // by pool; built when first used
 	capacity          map[string]model.Millicores // of the schedulable workers, by pool
 	accumulatingGangs int                         // gangs that accumulate capacity in this pass
+	isolatingGang     *step                       // first gang whose suspects lack workers
 }
 
 func (p *Planner) newPass() *pass {
 	p.passNumber++
 	ps := &pass{schedulable: map[string][]*worker{}, maxFree: map[string]model.Size{}, byFree: map[string]*freeIndex{}, capacity: map[string]model.Millicores{}}
 	for _, w := range p.sortByCapacityGain() {
-		w.wasSchedulable = w.isSchedulable(p.now) && !w.isSuspended(p.now)
+		w.wasSchedulable = w.acceptsTasks(p.now)
 		if w.wasSchedulable {
 			ps.schedulable[w.Pool] = append(ps.schedulable[w.Pool], w)
 			ps.capacity[w.Pool] += w.Capacity.CPU
@@ -74,7 +75,7 @@
 		p.workersByCapacityGain = slices.Clone(p.sortedWorkers())
 	}
 	for _, w := range p.workersByCapacityGain {
-		if !w.wasSchedulable && w.isSchedulable(p.now) && !w.isSuspended(p.now) {
+		if !w.wasSchedulable && w.acceptsTasks(p.now) {
 			w.gainedInPass = p.passNumber
 		}
 	}
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -43,6 +43,8 @@
 	// latestOnTime is the latest start with which the occurrence can meet its objective, and
 	// latestUseful the latest one with which it can end within three times the objective.
 	latestOnTime, latestUseful clock.Millis
+	// suspects holds the tasks that may have crashed a worker, by index; nil if there are none.
+	suspects map[int]bool
 	// waitingCache holds the result of waitingTasks unless waitingStale is set.
 	waitingCache []int
 	waitingStale bool
@@ -196,6 +198,7 @@
 	records := st.record().Tasks
 	for i := range records {
 		record := &records[i]
+		p.updateSuspect(st, i)
 		st.job.started = st.job.started || record.Done || record.FailedAttempts > 0 || record.Checkpoint != ""
 		if !record.Assigned {
 			continue
@@ -207,10 +210,17 @@
 		w := p.workers[record.Worker]
 		if w == nil || w.StartedAt != record.WorkerStartedAt {
 			t.worker = &worker{Worker: flow.Worker{ID: record.Worker, StartedAt: record.WorkerStartedAt}, tasks: map[attemptKey]*task{}, lost: true}
-			p.endTask(t, ledger.EndLost, "", "worker is gone")
+			end, cause := ledger.EndLost, "worker is gone"
+			if w != nil {
+				end, cause = ledger.EndWorkerCrash, "worker started again"
+			}
+			p.endTask(t, end, "", cause)
 			continue
 		}
 		t.worker = w
+		if st.suspects[i] && !w.lost {
+			p.adoptSuspect(st, t)
+		}
 		t.charge(w)
 	}
 }
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -12,6 +12,7 @@
 // runPass runs a placement pass: it places the waiting tasks in the order of their steps' rank.
 func (p *Planner) runPass() {
 	p.lastPassAt = p.now
+	p.releaseIsolated()
 	p.ready = slices.DeleteFunc(p.ready, func(st *step) bool {
 		if st.job.HasEnded() || st.done || len(st.waitingTasks()) == 0 {
 			st.queued = false
@@ -93,7 +94,7 @@
 	fits := st.spec.Charge().FitsIn(ps.maxFree[st.job.Queue.Pool])
 	if st.spec.Gang {
 		p.placeGang(ps, st, fits)
-	} else if fits {
+	} else if fits || len(st.suspects) > 0 {
 		p.placeSingles(ps, st)
 	}
 	return true
@@ -104,14 +105,23 @@
 // the same capacity.
 func (p *Planner) placeSingles(ps *pass, st *step) {
 	var needTickets []*worker
+	noRoom, lacksWorkers := false, false
 	for _, i := range slices.Clone(st.waitingTasks()) {
-		if w := p.bestWorker(ps, st, permissionValid); w != nil {
+		if noRoom && !st.suspects[i] {
+			continue
+		}
+		w, pending := p.workerFor(ps, st, i, permissionValid)
+		if w != nil {
 			p.assign(st, i, st.record().Tasks[i].Attempt+1, w)
 			continue
 		}
-		w := p.bestWorker(ps, st, permissionExpired)
+		if w == nil && !pending {
+			w, pending = p.workerFor(ps, st, i, permissionExpired)
+		}
 		if w == nil {
-			break
+			noRoom = noRoom || !st.suspects[i]
+			lacksWorkers = lacksWorkers || !pending
+			continue
 		}
 		p.reserve(st, []*worker{w})
 		needTickets = append(needTickets, w)
@@ -120,11 +130,20 @@
 		// Tickets for all permitted workers cost little more than a single one, and serve the tasks for
 		// which capacity becomes free in the meantime.
 		p.requestReservedTickets(st, append(needTickets, st.tickets.ticketed...))
-	} else if st.job.Queue.TicketPolicy != nil && len(st.waitingTasks()) > 0 {
+	} else if st.job.Queue.TicketPolicy != nil && lacksWorkers {
 		p.requestFurtherTickets(ps, st, 1)
 	}
 }
 
+// workerFor returns a worker for a task of a step that is not a gang, or nil; pending reports whether one is
+// kept for it.
+func (p *Planner) workerFor(ps *pass, st *step, index int, minimum permission) (w *worker, pending bool) {
+	if st.suspects[index] {
+		return p.suspectWorker(ps, st, minimum)
+	}
+	return p.bestWorker(ps, st, minimum), false
+}
+
 // eligible reports whether a worker has the label and the total capacity for a task of the step.
 func (st *step) eligible(w *worker) bool {
 	return w.HasLabel(st.spec.Label) && st.spec.Charge().FitsIn(w.Capacity)
@@ -256,6 +275,7 @@
 	t.ticket = st.tickets.byWorker[w].token
 	st.tasks[index] = t
 	st.waitingStale = true
+	p.startProbation(t)
 	t.charge(w)
 	p.placements = append(p.placements, ledger.Placement{
 		Task: name, Attempt: attempt, Worker: w.ID, WorkerStartedAt: w.StartedAt,
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -45,6 +45,7 @@
 	lastPassAt             clock.Millis
 	lastFlushAt            clock.Millis
 	passNumber             uint64
+	isolated               []*worker                   // kept for suspects
 	reserved               map[string]model.Millicores // processor capacity that steps have reserved, by pool
 	// workersConsidered counts how often a worker was considered for a step.
 	workersConsidered uint64
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -39,12 +39,14 @@
 	startedAt     clock.Millis
 	// firstSeenClock is the worker's clock when it confirmed the start or first reported the attempt, or 0.
 	firstSeenClock clock.Millis
-	survivedStart  bool   // the worker was up for startCrashWindow after it had confirmed the start
-	stopReason     string // empty unless the attempt was ordered to stop
-	stopSentAt     clock.Millis
-	percent        int
-	progressedAt   clock.Millis // when percent last changed
-	ticket         string
+	// survivedFor is how long after that the worker still ran the attempt, and probation how long it has to
+	// before other tasks start there; probation is 0 unless the task is a suspect on an isolated worker.
+	survivedFor, probation clock.Millis
+	stopReason             string // empty unless the attempt was ordered to stop
+	stopSentAt             clock.Millis
+	percent                int
+	progressedAt           clock.Millis // when percent last changed
+	ticket                 string
 }
 
 func (t *task) key() attemptKey { return attemptKey{t.name, t.attempt} }
@@ -264,9 +266,13 @@
 		t := st.tasks[e.Task.Index]
 		if t != nil && t.attempt == e.Attempt {
 			st.removeTask(t)
+			p.updateSuspect(st, e.Task.Index)
 			p.enqueue(st)
 		}
 		st.waitingStale = true
+		if j.Failed && (e.End == ledger.EndStartCrash || e.End == ledger.EndWorkerCrash) {
+			p.logEvent(LogEvent{Event: "task given up", Job: e.Task.Job, Task: e.Task.String(), Attempt: e.Attempt, Cause: "workers crash when they start it", Age: p.now - j.acceptedAt})
+		}
 		if e.End == ledger.EndFailed && !j.HasEnded() {
 			j.setLatestStarts(j.occurrences[e.Task.Occurrence])
 		}
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -44,6 +44,8 @@
 	unresponsive bool
 	// failingSince is when the first hold since the last report failed, or 0.
 	failingSince clock.Millis
+	// isolation is set while the worker is kept for suspects.
+	isolation *isolation
 	// awaitsReport is set when an order could not be sent, until the next report.
 	awaitsReport bool
 	addedAt      clock.Millis // when the planner learned of this incarnation, on the leader's clock
@@ -68,6 +70,11 @@
 	return w.hasReported && !w.Leaving && !w.lost && now-w.reportedAt <= contactTimeout && w.refusedConns == 0 && !w.awaitsReport
 }
 
+// acceptsTasks reports whether the worker may get new tasks of any step.
+func (w *worker) acceptsTasks(now clock.Millis) bool {
+	return w.isSchedulable(now) && !w.isSuspended(now) && w.isolation == nil
+}
+
 // estimateClock returns the expected reading of the worker's clock at a time after the last report.
 func (w *worker) estimateClock(now clock.Millis) clock.Millis {
 	return w.reportedClock + now - w.reportedAt
@@ -199,7 +206,7 @@
 		// if every call renewed the lease, its tasks could never be declared lost.
 		return h, 0, true
 	}
-	h.MaxWait = maxHoldWait
+	h.MaxWait = w.holdWait()
 	// An idle worker gets a lease too, which covers tasks that start before the next hold.
 	h.Expires = w.estimateClock(now) + min(p.cfg.Lease, p.cfg.MaxLease)
 	w.leaseEnd = max(w.leaseEnd, h.Expires)
--- a/vbridged/fleet/metrics.go
+++ b/vbridged/fleet/metrics.go
@@ -20,6 +20,8 @@
 	term              prometheus.Gauge
 	waitingSteps      *prometheus.GaugeVec
 	cpuCapacity       *prometheus.GaugeVec
+	isolatedWorkers   prometheus.Gauge
+	waitingSuspects   prometheus.Gauge
 	workersConsidered prometheus.Gauge
 	workerCalls       *prometheus.GaugeVec
 	workerCallLimit   *prometheus.GaugeVec
@@ -58,6 +60,8 @@
 		term:              gauge("vb_term", "Newest known term of the domain."),
 		waitingSteps:      gauges("vb_waiting_steps", "Steps with waiting tasks, at the leader, by whether they can still end on time.", "hope"),
 		cpuCapacity:       gauges("vb_room_cores", "Processor room of open workers in cores, at the leader.", "state"),
+		isolatedWorkers:   gauge("vb_isolated_workers", "Workers kept for tasks that may have crashed a worker, at the leader."),
+		waitingSuspects:   gauge("vb_waiting_suspects", "Waiting tasks that may have crashed a worker, at the leader."),
 		workersConsidered: gauge("vb_looks", "How often the plan of this term considered a worker for a step."),
 		workerCalls:       gauges("vb_worker_calls", "Calls to workers at the leader: holds and orders in progress, and orders that wait for their turn.", "kind"),
 		workerCallLimit:   gauges("vb_worker_call_limit", "Limit of the holds and orders in progress, from the descriptors of the process.", "kind"),
@@ -88,6 +92,8 @@
 	m.cpuCapacity.WithLabelValues("all").Set(float64(stats.SchedulableCapacity.CPU) / millicoresPerCore)
 	m.cpuCapacity.WithLabelValues("used").Set(float64(stats.Used.CPU) / millicoresPerCore)
 	m.cpuCapacity.WithLabelValues("held").Set(float64(stats.Reserved.CPU) / millicoresPerCore)
+	m.isolatedWorkers.Set(float64(stats.IsolatedWorkers))
+	m.waitingSuspects.Set(float64(stats.WaitingSuspects))
 	m.workersConsidered.Set(float64(stats.WorkersConsidered))
 }
 
