core/plan: a worker's changed capacity takes effect at once

What callers saw: a step that waits for room is not started when a worker's capacity grows, until a task ends on that worker; with long tasks that can last for their whole time. A pass considers only workers with new capacity for a step, and a larger announcement did not count as such.

The other direction: assignments that were being committed when a worker shrank were started over its new capacity. The users allow that for some seconds, but the leader knows better when it sends the orders.

--- a/core/plan/crash_test.go
+++ b/core/plan/crash_test.go
@@ -177,21 +177,28 @@
 			f.partitioned = false
 		}
 		sim.run(120 * clock.Second)
-		for id, j := range sim.state.Jobs() {
-			crashes := 0
-			for task, n := range sim.crashesUnder {
-				if task.Job == id {
-					crashes = max(crashes, n)
-				}
-			}
-			switch {
-			case !j.HasEnded():
-				sim.failf("job %s is still %s", id, j.Phase())
-			case j.Failed && crashes < 2:
-				sim.failf("job %s has failed after %d crashes under its tasks", id, crashes)
-			case deadly[id] && !j.Failed:
-				sim.failf("job %s with a task that crashes its workers is %s", id, j.Phase())
+		sim.requireEndedWithCause(deadly)
+	})
+}
+
+// requireEndedWithCause fails the test unless all jobs have ended, those with a task that crashes its workers have
+// failed, and at least two workers have crashed under a task of each failed job.
+func (sim *simulation) requireEndedWithCause(deadly map[model.JobID]bool) {
+	sim.t.Helper()
+	for id, j := range sim.state.Jobs() {
+		crashes := 0
+		for task, n := range sim.crashesUnder {
+			if task.Job == id {
+				crashes = max(crashes, n)
 			}
 		}
-	})
+		switch {
+		case !j.HasEnded():
+			sim.failf("job %s is still %s", id, j.Phase())
+		case j.Failed && crashes < 2:
+			sim.failf("job %s has failed after %d crashes under its tasks", id, crashes)
+		case deadly[id] && !j.Failed:
+			sim.failf("job %s with a task that crashes its workers is %s", id, j.Phase())
+		}
+	}
 }
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -157,6 +157,11 @@
 			p.endTask(t, ledger.EndLost, "", "not started: "+cmp.Or(t.stopReason, "worker is gone"))
 			continue
 		}
+		if w.isOverCapacity() {
+			p.endTask(t, ledger.EndLost, "", "not started: the capacity of its worker has shrunk")
+			p.stopGangMembers(t, "a member's worker has shrunk")
+			continue
+		}
 		p.sendStart(t)
 	}
 }
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -65,6 +65,9 @@
 // freeCapacity returns the capacity that is neither used nor reserved.
 func (w *worker) freeCapacity() model.Size { return w.Capacity.Minus(w.used).Minus(w.reserved) }
 
+// isOverCapacity reports whether the tasks of the worker need more than its capacity, because that has shrunk.
+func (w *worker) isOverCapacity() bool { return !w.used.FitsIn(w.Capacity) }
+
 // isSchedulable reports whether the worker is reachable and may get new tasks.
 func (w *worker) isSchedulable(now clock.Millis) bool {
 	return w.hasReported && !w.Leaving && !w.lost && now-w.reportedAt <= contactTimeout && w.refusedConns == 0 && !w.awaitsReport
@@ -96,8 +99,12 @@
 func (p *Planner) addWorker(now clock.Millis, announced flow.Worker) {
 	old := p.workers[announced.ID]
 	if old != nil && old.StartedAt == announced.StartedAt {
-		wasLeaving := old.Leaving
+		wasLeaving, capacity := old.Leaving, old.Capacity
 		old.Worker = announced
+		if announced.Capacity != capacity {
+			p.logEvent(LogEvent{Event: "worker resized", Worker: announced.ID, Cause: capacity.String() + " to " + announced.Capacity.String()})
+			p.noteCapacityGain(old)
+		}
 		if announced.Leaving && !wasLeaving {
 			p.logEvent(LogEvent{Event: "worker leaves", Worker: announced.ID})
 		}
