vbridged/fleet: late announcements change nothing, also on a core without a leader

A worker's capacity may now change while it runs, so an announcement that was held up must not bring back an earlier one: starts would exceed the capacity (LIMIT). Only announcements that change something are in the state. After 16, 8 and again 8 cores with the numbers 1, 2 and 4, a late number 3 with 16 cores looked newer than the state and was committed. Each core now remembers the newest number that it got from each worker.

A core that knows no leader refuses announcements that change nothing by its own state: the others may have committed a change in the meantime, and the worker would have told only this core that it is back to what it was.

What remains: an announcement that is held up on its way to a core which has got none of the newer ones is still taken, until the worker's next one some 1.5 s later.

--- a/vbridged/fleet/domain.go
+++ b/vbridged/fleet/domain.go
@@ -53,6 +53,8 @@
 	mu      sync.Mutex
 	state   *ledger.State
 	session *session
+	// announcements holds what workers have announced to this core.
+	announcements announcements
 	// roleTerm is the term of the last role change that the group reported.
 	roleTerm uint64
 }
@@ -72,7 +74,7 @@
 // Open starts the replica of a core. Serve then starts the listener and the periodic tasks.
 func Open(o Options, m *Metrics) (*Domain, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Domain{options: o, metrics: m, state: ledger.New(), ctx: ctx, cancel: cancel, groupReady: make(chan struct{})}
+	d := &Domain{options: o, metrics: m, state: ledger.New(), ctx: ctx, cancel: cancel, groupReady: make(chan struct{}), announcements: announcements{}}
 	d.network = peer.New(o.Self, nil, nil, nil)
 	d.network.SetPingConfig(corePingConfig())
 	d.directory = newDirectory(o.Self, d.network)
@@ -373,6 +375,7 @@
 	if s := d.session; s != nil {
 		d.executeDecisions(s, []plan.Decision{plan.Propose{Command: ledger.PruneJobs{EndedBefore: unixNow() - d.options.JobRetention}}})
 	}
+	d.announcements.forget(d.state.Workers())
 	d.directory.removeSilentFronts(d.now())
 }
 
--- /dev/null
+++ b/vbridged/fleet/export_test.go
@@ -0,0 +1,10 @@
+package fleet
+
+import "vanillabridge/core/model"
+
+// WorkerCapacity returns the capacity of a worker that this replica has applied.
+func (d *Domain) WorkerCapacity(id model.WorkerID) model.Size {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Workers()[id].Capacity
+}
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -194,7 +194,7 @@
 // committed; data that are known already are not committed again. The returned address is that of the
 // core to which the worker should send later announcements, or "" for this one.
 func (d *Domain) RecordWorker(ctx context.Context, w flow.Worker) (string, error) {
-	_, term, leads := d.group.Leader()
+	leader, term, leads := d.group.Leader()
 	nextAddress := ""
 	if leads {
 		nextAddress = d.directory.announceAddress(d.now(), w.ID)
@@ -202,8 +202,13 @@
 	d.mu.Lock()
 	old, known := d.state.Workers()[w.ID]
 	version := d.state.Config().Version
+	late := d.announcements.isLate(w)
 	d.mu.Unlock()
-	if known && isRedundantAnnouncement(old, w) {
+	if late || (known && isRedundantAnnouncement(old, w)) {
+		if leader == "" {
+			// The others may have committed a change since, so that this announcement changes something.
+			return "", fault.Wrap(fault.ErrUnavailable, "record worker %s: no leader is known", w.ID)
+		}
 		return nextAddress, nil
 	}
 	result, err := d.proposeCommand(ctx, ledger.RegisterWorker{Worker: w})
