core/place: a job whose task crashes its workers is given up

A worker that restarts unexpectedly, or is lost, counts against the tasks that it had been given and that had not started, or had run for less than 2 s, by its last report. Such a task waits for a backoff and starts only apart from starting tasks of other jobs; after three such workers its job fails.

What remains: the count is in the scheduler's memory, so a new leader of the zone starts it again.

--- a/core/place/fault_test.go
+++ b/core/place/fault_test.go
@@ -159,3 +159,34 @@
 		t.Fatalf("state of good job %s is %s", j.id, j.state)
 	}
 }
+
+// Guards against a task that is placed on one worker after another although each of them crashes when it starts the
+// task, and against jobs beside it that are given up. The bound is the users': fewer than three starts after three
+// crashes.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		s := place.New(place.Config{Seed: seed})
+		f := newFleet(s, seed, 16, smallWorker)
+		m := newMix(f, seed, rapid.Float64Range(0.2, 0.8).Draw(t, "load"))
+		f.run(10*clock.Second, m.submitArrivals)
+		checkDecisions(t, f, s)
+		base := model.Base{Name: "bad", Count: rapid.IntRange(1, 6).Draw(t, "count"), Urgency: model.Normal, Size: model.Size{CPU: 200, Memory: 200}}
+		var work model.Work = model.Batch{Base: base, Time: clock.Second}
+		if rapid.Bool().Draw(t, "gang") {
+			work = model.Gang{Base: base, Time: clock.Second}
+		}
+		bad := f.submit("bad/1", work)
+		bad.crashesWorkers = true
+		f.run(40*clock.Second, m.submitArrivals)
+		runUntilDone(t, f, 15*clock.Minute)
+		if bad.state != "failed" || bad.crashes > 5 {
+			t.Fatalf("job with a task that crashes its workers is %s after %d crashes, want failed after at most 5", bad.state, bad.crashes)
+		}
+		for _, j := range f.jobs {
+			if j != bad && j.state == "failed" {
+				t.Fatalf("job %s has failed beside a task that crashes its workers", j.id)
+			}
+		}
+	})
+}
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"vanillabridge/core/clock"
@@ -23,6 +24,7 @@
 	if s.updateIdentity(now, w, e) {
 		s.updateEligibility(w)
 	}
+	w.reportedAt = now
 	s.recordReport(now, w, e.Held)
 	s.refillWorker(now, w)
 }
@@ -31,6 +33,7 @@
 // any of them changed, which may change the eligibility of the worker.
 func (s *Scheduler) updateIdentity(now clock.Millis, w *worker, e WorkerReport) bool {
 	restarted := w.reported && w.incarnation != e.Incarnation
+	crashed := restarted && !w.leaving
 	leaving := e.Leaving || (w.leaving && !restarted)
 	if w.reported && !restarted && w.leaving == leaving && w.size == e.Size && w.rack.name == e.Rack {
 		return false
@@ -53,7 +56,7 @@
 	if restarted {
 		w.health, w.overloaded, w.foreign = health{}, false, model.Size{}
 	}
-	s.evict(now, w, "worker restarted", func(t *task) bool { return s.assignedIncarnation(t, w) != w.incarnation })
+	s.evict(now, w, "worker restarted", crashed, func(t *task) bool { return s.assignedIncarnation(t, w) != w.incarnation })
 	s.fleetChanged = true
 	return true
 }
@@ -147,13 +150,14 @@
 	}
 	s.index.remove(w)
 	s.leaveRack(w)
-	s.evict(now, w, "worker lost", func(*task) bool { return true })
+	s.evict(now, w, "worker lost", !w.leaving, func(*task) bool { return true })
 	delete(s.workers, id)
 	s.fleetChanged = true
 }
 
-// evict requeues the chosen tasks of a worker. The caller knows that they no longer run.
-func (s *Scheduler) evict(now clock.Millis, w *worker, reason string, chosen func(*task) bool) {
+// evict requeues the chosen tasks of a worker. The caller knows that they no longer run, and whether the worker
+// ended unexpectedly.
+func (s *Scheduler) evict(now clock.Millis, w *worker, reason string, crashed bool, chosen func(*task) bool) {
 	var list []*task
 	for _, t := range w.tasks {
 		if chosen(t) {
@@ -162,9 +166,17 @@
 	}
 	w.restoredIncarnations, w.taskIncarnation = nil, w.incarnation
 	for _, t := range list {
+		if crashed && t.isStartingOn(w) {
+			t.recordCrash(now)
+		}
 		s.detach(t)
 		s.requeue(now, t, reason)
 	}
+	for _, t := range list {
+		if t.crashes >= crashLimit && !t.job.dropped {
+			s.failJob(now, t.job, fmt.Sprintf("%d workers were lost right after they got task %d", t.crashes, t.index))
+		}
+	}
 	for _, t := range list {
 		s.requeueGang(now, t.job)
 	}
--- a/core/place/fleet_test.go
+++ b/core/place/fleet_test.go
@@ -59,14 +59,18 @@
 type kindFactors struct{ use, time float64 }
 
 type fakeJob struct {
-	id            model.JobID
-	work          model.Work
-	base          model.Base
-	tasks         []*fakeTask
-	declaredTime  clock.Millis
-	failsStarts   bool // its tasks fail to start on every worker
-	state         string
-	startFailures map[model.WorkerID]int
+	id           model.JobID
+	work         model.Work
+	base         model.Base
+	tasks        []*fakeTask
+	declaredTime clock.Millis
+	failsStarts  bool // its tasks fail to start on every worker
+	// crashesWorkers is set if its first task ends the process of every worker that starts it; crashes counts
+	// these workers.
+	crashesWorkers bool
+	crashes        int
+	state          string
+	startFailures  map[model.WorkerID]int
 }
 
 type fakeTask struct {
@@ -287,6 +291,12 @@
 }
 
 func (f *fleet) startTask(w *fakeWorker, t *fakeTask) {
+	if t.job.crashesWorkers && t.index == 0 {
+		t.job.crashes++
+		w.killTasks()
+		w.incarnation++
+		return
+	}
 	if w.failsStarts || t.job.failsStarts {
 		t.endAttempt(f.now, proto.EndNoStart)
 		t.job.startFailures[w.id]++
--- a/core/place/health.go
+++ b/core/place/health.go
@@ -87,7 +87,7 @@
 func (s *Scheduler) recordSuccess(now clock.Millis, w *worker, t *task) {
 	h := &w.health
 	h.failedJobs, h.lastSuccess = h.failedJobs[:0], now
-	t.failures = 0
+	t.failures, t.crashes, t.job.crashes = 0, 0, 0
 	t.job.successes++
 	if !h.suspended {
 		return
@@ -97,6 +97,23 @@
 	s.emit(Resumed{Worker: w.id})
 }
 
+// isStartingOn reports whether the task may be the cause of a crash of its worker: by the worker's last report it had
+// not started, or had run for less than crashWindow.
+func (t *task) isStartingOn(w *worker) bool {
+	return t.phase == phaseAssigned || w.reportedAt-t.startedAt < crashWindow
+}
+
+// isSuspect reports whether the task, or another one of its gang, may have crashed a worker.
+func (t *task) isSuspect() bool { return t.crashes > 0 || (t.job.gang && t.job.crashes > 0) }
+
+// recordCrash counts a crash of the task's worker, and delays its next start, so that one task does not take worker
+// after worker down.
+func (t *task) recordCrash(now clock.Millis) {
+	t.notBefore = now + min(minFailureBackoff<<min(t.crashes, 6), maxFailureBackoff)
+	t.crashes = min(t.crashes+1, crashLimit)
+	t.job.crashes = max(t.job.crashes, t.crashes)
+}
+
 // countFailuresOnGoodWorkers returns the number of workers on which the job failed and on which a
 // task has succeeded since. Without that success, the cause may be the worker or the job.
 func (s *Scheduler) countFailuresOnGoodWorkers(j *job) int {
--- a/core/place/params.go
+++ b/core/place/params.go
@@ -109,7 +109,11 @@
 	kindRetention          = clock.Hour // how long the measurements of a kind without jobs are kept
 	// minAvoidTime is how long a job at least avoids a worker on which it failed. After it, the job may
 	// use the worker again if a task has succeeded there since the failure.
-	minAvoidTime    = 10 * clock.Minute
+	minAvoidTime = 10 * clock.Minute
+	// crashLimit is the number of workers that may be lost right after they got a task before its job is given up;
+	// crashWindow is how long after its start that is.
+	crashLimit      = 3
+	crashWindow     = 2 * clock.Second
 	maxWaitingTasks = 100_000 // per class
 	minRetryHint    = clock.Second
 	maxRetryHint    = 5 * clock.Minute
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -144,7 +144,7 @@
 	if w.reservation != nil && w.reservation.unit != t && !w.fitsBesideReservation(now, t, charge) {
 		return charge, false
 	}
-	return charge, t.job.gang || !w.hasStartingTask(t.job)
+	return charge, w.mayStartBeside(t)
 }
 
 // clampCharge limits a charge to the usable capacity of the worker. A task whose charge exceeds that
@@ -153,15 +153,21 @@
 	return model.Size{CPU: min(need.CPU, w.usable.CPU), Memory: min(need.Memory, w.usable.Memory), Accel: need.Accel}
 }
 
-// hasStartingTask reports whether a task of the job is assigned to the worker and has not started
-// yet. A second one waits until it has, because both would fail on a bad worker.
-func (w *worker) hasStartingTask(j *job) bool {
-	for _, t := range w.tasks {
-		if t.job == j && t.phase == phaseAssigned {
-			return true
+// mayStartBeside reports whether a task may start beside those that are starting on the worker. A second task of a
+// job waits until the first has started, because both would fail on a bad worker; a gang may not wait. A task that
+// may have crashed a worker starts apart from those of other jobs, so that another crash proves its cause.
+func (w *worker) mayStartBeside(t *task) bool {
+	for _, other := range w.tasks {
+		switch {
+		case other.job == t.job:
+			if !t.job.gang && other.phase == phaseAssigned {
+				return false
+			}
+		case (t.isSuspect() || other.isSuspect()) && other.isStartingOn(w):
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // assign starts a new attempt of a waiting task on a worker.
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -46,6 +46,7 @@
 	usageReports      uint16
 	checkpointPercent uint8
 	failures          uint8
+	crashes           uint8 // workers that were lost right after they got the task
 	phase             phase
 	command           command
 	dropped           bool // cancelled; it is not queued again
@@ -99,9 +100,10 @@
 	gang               bool
 	service            bool
 	checkpoint         bool
-	gangQueued         bool // the gang is in the queue of its shape
-	dropped            bool // cancelled or failed
-	reportedImpossible bool // an Impossible was emitted for it
+	crashes            uint8 // highest task.crashes since the last success
+	gangQueued         bool  // the gang is in the queue of its shape
+	dropped            bool  // cancelled or failed
+	reportedImpossible bool  // an Impossible was emitted for it
 }
 
 func newJob(id model.JobID, work model.Work) *job {
@@ -154,6 +156,7 @@
 	level                int32 // bucket in the pool
 	slot                 int32 // index in the bucket
 	reported             bool  // since the scheduler started
+	reportedAt           clock.Millis
 	leaving              bool
 	slowedTasks          int32
 	overloaded           bool                        // measured use is at least throttlePercent
