core/plan: a refused connection does not prove that a worker's process has ended

What callers saw: tasks ran twice. It turned up while the evidence for a crash was checked. It is one of the cases from operators: a machine that was only silent had its running work started again elsewhere.

Change: the tasks of a worker that refuses connections end with its lease, or when another incarnation answers, or when a later worker announces its address. Only a worker that has announced its end is declared lost by refusals. In the simulation a cut may refuse connections; TestTasksOfCutOffWorkerRunOnce and the three property tests failed with tasks that start while an attempt runs elsewhere, and pass (600 cases each).

Ruled out: asking a front for its view of the worker. A worker that is cut off from all machines is refused everywhere.

--- a/core/flow/config.go
+++ b/core/flow/config.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"strings"
 
 	"vanillabridge/core/clock"
@@ -126,6 +127,18 @@
 	Seq uint64
 }
 
+// seqLeft is the number of the last announcement of a worker, with which it leaves.
+const seqLeft = math.MaxUint64
+
+// WithLeft returns the worker after its last announcement: its process ends by itself.
+func (w Worker) WithLeft() Worker {
+	w.Leaving, w.Seq = true, seqLeft
+	return w
+}
+
+// HasLeft reports whether the worker has announced that its process ends now.
+func (w Worker) HasLeft() bool { return w.Leaving && w.Seq == seqLeft }
+
 // HasLabel reports whether the worker has a label. Every worker has the empty label.
 func (w Worker) HasLabel(label string) bool {
 	if label == "" {
--- a/core/plan/crash.go
+++ b/core/plan/crash.go
@@ -47,6 +47,21 @@
 	p.proposeCollected()
 }
 
+// endUnreachableTasks ends the tasks of a worker whose lease has expired. A worker whose address refuses connections
+// has probably crashed, but a link that is cut may refuse them too.
+func (p *Planner) endUnreachableTasks(w *worker) {
+	for _, t := range w.selectTasks(anyTask) {
+		end, cause := ledger.EndLost, "lease ended without contact"
+		if w.refusedConns > 0 {
+			cause = "lease ended while connections were refused"
+			if t.crashEnd() != ledger.EndLost {
+				end = ledger.EndWorkerCrash
+			}
+		}
+		p.endTask(t, end, "", cause)
+	}
+}
+
 // crashEnd returns how an attempt has ended by a crash of its worker. Only a confirmed start is evidence against
 // the task: the worker may have crashed before an order without an answer arrived.
 func (t *task) crashEnd() ledger.End {
--- a/core/plan/crash_test.go
+++ b/core/plan/crash_test.go
@@ -38,12 +38,13 @@
 	sim.run(3 * clock.Second)
 	sim.submit("/a/", "2", flow.Step{Count: 1, Need: smallTask, Estimate: 20 * clock.Second})
 	sim.run(300)
-	f.alive = false
+	sim.crash(f, 700)
 	sim.run(clock.Second)
 	want := []string{
-		"task ended 1 1.0.0.0 #1 on w: worker crashed: nothing listens at its address",
-		"task ended 2 2.0.0.0 #1 on w: worker crashed at start: within 275ms of its start order: nothing listens at its address",
-		"worker crashed   #0 on w: nothing listens at its address; 2 attempts, 1 of them just started",
+		"task ended 1 1.0.0.0 #1 on w: worker crashed: another worker listens at its address",
+		"task ended 2 2.0.0.0 #1 on w: worker crashed at start: within 275ms of its start order: another worker listens at its address",
+		"worker crashed   #0 on w: another worker listens at its address; 2 attempts, 1 of them just started",
+		"worker isolated 2 2.0.0 #0 on w': for tasks that may have crashed a worker",
 	}
 	if diff := cmp.Diff(want, crashLines(sim)); diff != "" {
 		t.Fatalf("log of the crash (-want +got):\n%s", diff)
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -80,7 +80,7 @@
 		}
 	case 1:
 		if f.alive {
-			f.partitioned = true
+			f.partitioned, f.refuses = true, rapid.Bool().Draw(rt, "refuse")
 			sim.after(clock.Millis(rapid.IntRange(500, 9000).Draw(rt, "cut")), func() { f.partitioned = false })
 		}
 	case 2:
@@ -500,3 +500,25 @@
 	sim.run(lease*102/100 + clock.Second + 2*clock.Second + clock.Second)
 	sim.requireCompleted()
 }
+
+// Guards against tasks that are started again elsewhere while they run on a worker that was only cut off: where a
+// link is cut, connections may be refused just as after the end of a process (TWICE).
+func TestTasksOfCutOffWorkerRunOnce(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.configure(newQueue("/a/"))
+	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 10 * clock.Second, false }
+	sim.startLeader()
+	f := sim.addWorker("w0", workerSize)
+	sim.run(clock.Second)
+	sim.submit("/a/", "1", flow.Step{Count: 2, Need: smallTask, Estimate: 10 * clock.Second})
+	sim.run(clock.Second)
+	sim.addWorker("w1", workerSize)
+	f.partitioned, f.refuses = true, true
+	sim.run(3 * clock.Second)
+	f.partitioned = false
+	sim.run(10 * clock.Second)
+	sim.requireCompleted()
+	if got := sim.countStarts(); got != 2 {
+		t.Fatalf("2 tasks were started %d times in all although their worker was only cut off", got)
+	}
+}
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -17,6 +17,7 @@
 	state                 *ledger.State
 	now                   clock.Millis
 	workers               map[model.WorkerID]*worker
+	workersByAddress      map[string]*worker
 	workersByID           []*worker // sorted by identifier; nil when it has to be rebuilt
 	workersByCapacityGain []*worker // sorted by worker.gainedInPass, highest first; nil when it has to be rebuilt
 	jobs                  map[model.JobID]*job
@@ -61,8 +62,8 @@
 func New(now clock.Millis, cfg Config, state *ledger.State) (*Planner, []Decision) {
 	p := &Planner{
 		cfg: cfg, state: state, now: now,
-		workers: map[model.WorkerID]*worker{},
-		jobs:    map[model.JobID]*job{}, recurringJobs: map[model.JobID]*job{},
+		workers: map[model.WorkerID]*worker{}, workersByAddress: map[string]*worker{},
+		jobs: map[model.JobID]*job{}, recurringJobs: map[model.JobID]*job{},
 		ticketCalls: map[uint64]*ticketCall{}, reserved: map[string]model.Millicores{},
 		approvalRates: map[string]float64{}, pendingAcks: map[uint64]ackBatch{},
 	}
@@ -84,6 +85,9 @@
 	for _, id := range jobs {
 		p.addJob(state.Jobs()[id])
 	}
+	for _, w := range p.sortedWorkers() {
+		p.replaceAtAddress(w) // only now, so that the tasks of the worker that is replaced end with it
+	}
 	// The caller of New logs the number of workers when it starts the planner, so the log needs no line
 	// for each.
 	p.decisions = slices.DeleteFunc(p.decisions, func(d Decision) bool {
@@ -165,6 +169,7 @@
 	case ledger.RegisterWorker:
 		if w, ok := p.state.Workers()[c.Worker.ID]; ok {
 			p.addWorker(p.now, w)
+			p.replaceAtAddress(p.workers[w.ID])
 		}
 	case ledger.RemoveWorker:
 		p.removeWorker(c.ID, c.StartedAt)
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -124,6 +124,29 @@
 	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: announced.ID, Cause: announced.Capacity.String()})
 }
 
+// replaceAtAddress compares a worker with the one that had its address before: two processes cannot listen there, so
+// the one that started first has ended.
+func (p *Planner) replaceAtAddress(w *worker) {
+	other := p.workersByAddress[w.Address]
+	if other == nil || other.ID == w.ID {
+		p.workersByAddress[w.Address] = w
+		return
+	}
+	ended := other
+	switch {
+	case other.StartedAt == 0 || w.StartedAt == 0 || other.StartedAt == w.StartedAt:
+		return
+	case other.StartedAt > w.StartedAt:
+		ended = w // its announcement is late
+	default:
+		p.workersByAddress[w.Address] = w
+	}
+	if !ended.lost {
+		p.markWorkerCrashed(ended, "another worker listens at its address")
+		p.propose(ledger.RemoveWorker{ID: ended.ID, StartedAt: ended.StartedAt})
+	}
+}
+
 // markWorkerLost ends all attempts of an incarnation that provably runs no tasks any more.
 func (p *Planner) markWorkerLost(w *worker, cause string) {
 	if w.lost {
@@ -143,6 +166,9 @@
 	}
 	p.markWorkerLost(w, "worker was dismissed")
 	delete(p.workers, id)
+	if p.workersByAddress[w.Address] == w {
+		delete(p.workersByAddress, w.Address)
+	}
 	p.workersByID, p.workersByCapacityGain = nil, nil
 }
 
@@ -169,8 +195,11 @@
 		p.markWorkerCrashed(w, "another incarnation answered at its address")
 		p.propose(ledger.RemoveWorker{ID: w.ID, StartedAt: w.StartedAt})
 	case FailureRefused:
-		if w.refusedConns++; w.refusedConns >= maxRefusedConns {
-			p.markWorkerCrashed(w, "nothing listens at its address")
+		// A link that is cut may refuse connections too, so only a worker that has left is certain to have ended.
+		// The tasks of any other one end with its lease, or when another worker is found at its address.
+		w.unresponsive = true
+		if w.refusedConns++; w.refusedConns >= maxRefusedConns && w.HasLeft() {
+			p.markWorkerLost(w, "it has left, and nothing listens at its address")
 			p.propose(ledger.RemoveWorker{ID: w.ID, StartedAt: w.StartedAt})
 		}
 	case FailureNoAnswer:
@@ -186,9 +215,7 @@
 			continue
 		}
 		if len(w.tasks) > 0 && w.hasLeaseExpired(now) {
-			for _, t := range w.selectTasks(anyTask) {
-				p.endTask(t, ledger.EndLost, "", "lease ended without contact")
-			}
+			p.endUnreachableTasks(w)
 		}
 		if len(w.tasks) == 0 && now-max(w.reportedAt, w.addedAt) > dismissTimeout {
 			p.markWorkerLost(w, "no contact")
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -124,6 +124,7 @@
 	isNear             bool // transit to the leader takes 1 ms
 	stalls             bool // its tasks make no progress
 	vanishes           bool // when it is down, calls get no answer instead of a refused connection
+	refuses            bool // when it is partitioned, connections to it are refused, as if its process had ended
 	fencingToken       uint64
 	leaseEnd           clock.Millis // on the worker's clock
 	attempts           map[string]*fakeAttempt
@@ -295,8 +296,13 @@
 }
 
 func (sim *simulation) addWorker(id string, size model.Size, labels ...string) *fakeWorker {
+	return sim.addWorkerAt(id, id, size, labels...)
+}
+
+// addWorkerAt adds a worker at an address, where another one may have been before.
+func (sim *simulation) addWorkerAt(address, id string, size model.Size, labels ...string) *fakeWorker {
 	f := &fakeWorker{
-		Worker: flow.Worker{ID: model.WorkerID(id), StartedAt: sim.now, Pool: "pool", Address: id, Capacity: size, Labels: labels, Seq: 1},
+		Worker: flow.Worker{ID: model.WorkerID(id), StartedAt: sim.now, Pool: "pool", Address: address, Capacity: size, Labels: labels, Seq: 1},
 		alive:  true, isNear: sim.addNearWorkers, attempts: map[string]*fakeAttempt{}, highestAttempt: map[flow.Task]int{}, lapsesAtSuccess: map[flow.Task]int{},
 	}
 	f.clockOffset = -sim.now + clock.Millis(sim.rng.Int64N(1000))
@@ -362,7 +368,11 @@
 		return
 	}
 	sim.after(transitTime, func() {
-		if !sim.isReachable(sim.findWorker(d.Worker)) {
+		if f := sim.findWorker(d.Worker); !sim.isReachable(f) {
+			if f != nil && f.partitioned && f.refuses {
+				answer(plan.VerdictUnhealthy, 0)
+				return
+			}
 			sim.after(600, func() { answer(plan.VerdictUnknown, 0) })
 			return
 		}
@@ -646,7 +656,7 @@
 		failHold(2*transitTime, plan.FailureOtherIncarnation)
 		return
 	}
-	if !f.alive && !f.vanishes {
+	if (!f.alive && !f.vanishes) || (f.partitioned && f.refuses) {
 		failHold(2*transitTime, plan.FailureRefused)
 		return
 	}
@@ -660,7 +670,7 @@
 func (sim *simulation) answerHold(term uint64, incarnation plan.Incarnation, h plan.Hold, f *fakeWorker, sentAt, receivedAt clock.Millis) {
 	if !sim.isReachable(f) {
 		failsAfter := h.MaxWait + 600
-		if !f.alive && !f.vanishes {
+		if (!f.alive && !f.vanishes) || f.refuses {
 			failsAfter = f.transit() // the end of a process closes its connections
 		}
 		sim.after(failsAfter, func() {
@@ -737,8 +747,7 @@
 		sim.crashesUnder[r.task]++
 	}
 	sim.after(restartDelay, func() {
-		next := sim.addWorker(string(f.ID)+"'", f.Capacity, f.Labels...)
-		next.Address = f.Address
+		sim.addWorkerAt(f.Address, string(f.ID)+"'", f.Capacity, f.Labels...)
 	})
 }
 
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -227,18 +227,16 @@
 		(old.Leaving || !w.Leaving)
 }
 
-// MarkWorkerLeaving records that a worker is about to shut down. The outcome of its running tasks is
-// settled when it no longer answers.
+// MarkWorkerLeaving records that the process of a worker ends now. The outcome of its running tasks is settled when
+// its address refuses connections.
 func (d *Domain) MarkWorkerLeaving(ctx context.Context, id model.WorkerID) error {
 	d.mu.Lock()
 	w, known := d.state.Workers()[id]
 	d.mu.Unlock()
-	if !known || w.Leaving {
+	if !known || w.HasLeft() {
 		return nil
 	}
-	w.Leaving = true
-	w.Seq++
-	_, err := d.proposeCommand(ctx, ledger.RegisterWorker{Worker: w})
+	_, err := d.proposeCommand(ctx, ledger.RegisterWorker{Worker: w.WithLeft()})
 	klog.InfoS("worker leaves", "worker", id, "error", errorText(err))
 	return err
 }
