core/plan: statistics of a leader don't panic after a job with suspects was given up

Found while reading the diff: Stats counts the waiting suspects of the steps in the queue. When a job with such a step has failed and its last attempt is settled, the state drops the records of its steps, and until the next placement pass, up to 10 ms on a leader with 32 waiting steps or more, the step is still in the queue. Stats runs once a second, so a storm of crash loops would have ended a leader sooner or later.

TestStatsAfterJobWithSuspectsIsGivenUp panicked with 'index out of range [0] with length 0' and passes. The simulation now calls Stats after each command, so that the property tests see such states too.

The workers sorted by use are computed once a pass instead of once for each suspect: with 1,100 workers and many suspects the sort would have cost the leader a large part of its processor.

--- a/core/plan/crash_test.go
+++ b/core/plan/crash_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// deadlyJobs makes the first task of each of the named jobs end every worker that starts it.
-func (sim *simulation) deadlyJobs(ids ...model.JobID) {
+// crashingJobs makes the first task of each of the named jobs end every worker that starts it.
+func (sim *simulation) crashingJobs(ids ...model.JobID) {
 	sim.crashesWorker = func(t flow.Task) bool {
 		for _, id := range ids {
 			if t.Job == id && t.Index == 0 && t.Step == 0 {
@@ -89,7 +89,7 @@
 				sim := newSimulation(t, 1)
 				sim.configure(newQueue("/a/"))
 				sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 2 * clock.Second, false }
-				sim.deadlyJobs("bad")
+				sim.crashingJobs("bad")
 				sim.startLeader()
 				for i := range 8 {
 					sim.addWorker(fmt.Sprintf("w%d", i), workerSize)
@@ -116,7 +116,7 @@
 	sim := newSimulation(t, 1)
 	sim.configure(newQueue("/a/"))
 	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 2 * clock.Second, false }
-	sim.deadlyJobs("bad")
+	sim.crashingJobs("bad")
 	sim.startLeader()
 	for i := range 8 {
 		sim.addWorker(fmt.Sprintf("w%d", i), workerSize)
@@ -142,6 +142,31 @@
 	}
 }
 
+// Guards against a leader that panics when it logs its statistics after a job with a waiting suspect was given up: the
+// records of its steps are dropped before the next pass removes them from the queue.
+func TestStatsAfterJobWithSuspectsIsGivenUp(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.configure(newQueue("/a/"))
+	sim.crashesWorker = func(flow.Task) bool { return true }
+	sim.passBeforeApply = true
+	sim.startLeader()
+	for i := range 5 {
+		sim.addWorker(fmt.Sprintf("w%d", i), smallTask)
+	}
+	sim.run(clock.Second)
+	for i := range 40 { // too large for any worker; with so many waiting steps no pass is urgent
+		sim.submit("/a/", fmt.Sprintf("%016x", i+1), flow.Step{Count: 1, Need: workerSize, Estimate: 2000})
+	}
+	sim.submit("/a/", "bad", flow.Step{Count: 5, Need: smallTask, Estimate: 2000})
+	sim.run(20 * clock.Second)
+	if phase := sim.state.Job("bad").Phase(); phase != ledger.PhaseFailed {
+		t.Fatalf("job is %s, want failed", phase)
+	}
+	if got := sim.planner.Stats().WaitingSuspects; got != 0 {
+		t.Fatalf("%d suspects wait although their job is over", got)
+	}
+}
+
 // Guards against a task that crashes its workers and exceeds its starts because a start was not answered, a
 // worker crashed by itself, or another leader took over; and against a job that fails although fewer than two
 // workers have crashed under any of its tasks.
@@ -153,8 +178,8 @@
 		sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) {
 			return clock.Millis(100 + sim.rng.IntN(3000)), false
 		}
-		deadly := map[model.JobID]bool{}
-		sim.crashesWorker = func(t flow.Task) bool { return deadly[t.Job] && t.Step == 0 && t.Index == 0 }
+		crashing := map[model.JobID]bool{}
+		sim.crashesWorker = func(t flow.Task) bool { return crashing[t.Job] && t.Step == 0 && t.Index == 0 }
 		sim.startLeader()
 		for i := range 9 {
 			sim.addWorker(fmt.Sprintf("w%d", i), workerSize)
@@ -163,7 +188,7 @@
 		sim.lostAnswerShare = rapid.SampledFrom([]float64{0, 0.05}).Draw(rt, "lose")
 		for i := range rapid.IntRange(1, 25).Draw(rt, "jobs") {
 			id := fmt.Sprintf("%016x", i+1)
-			deadly[model.JobID(id)] = rapid.IntRange(0, 5).Draw(rt, "deadly") == 0
+			crashing[model.JobID(id)] = rapid.IntRange(0, 5).Draw(rt, "crash") == 0
 			q := rapid.SampledFrom([]string{"/a/", "/b/"}).Draw(rt, "queue")
 			step := flow.Step{
 				Count: rapid.IntRange(1, 6).Draw(rt, "count"), Need: smallTask, Estimate: 1000,
@@ -178,13 +203,13 @@
 			f.partitioned = false
 		}
 		sim.run(120 * clock.Second)
-		sim.requireEndedWithCause(deadly)
+		sim.requireEndedWithCause(crashing)
 	})
 }
 
 // requireEndedWithCause fails the test unless all jobs have ended, those with a task that crashes its workers have
 // failed, and at least two workers have crashed under a task of each failed job.
-func (sim *simulation) requireEndedWithCause(deadly map[model.JobID]bool) {
+func (sim *simulation) requireEndedWithCause(crashing map[model.JobID]bool) {
 	sim.t.Helper()
 	for id, j := range sim.state.Jobs() {
 		crashes := 0
@@ -198,7 +223,7 @@
 			sim.failf("job %s is still %s", id, j.Phase())
 		case j.Failed && crashes < 2:
 			sim.failf("job %s has failed after %d crashes under its tasks", id, crashes)
-		case deadly[id] && !j.Failed:
+		case crashing[id] && !j.Failed:
 			sim.failf("job %s with a task that crashes its workers is %s", id, j.Phase())
 		}
 	}
--- a/core/plan/isolate.go
+++ b/core/plan/isolate.go
@@ -44,8 +44,8 @@
 
 // waitingSuspects counts the suspects that wait to be placed.
 func (st *step) waitingSuspects() int {
-	if len(st.suspects) == 0 {
-		return 0
+	if len(st.suspects) == 0 || st.job.HasEnded() {
+		return 0 // the state has no records of the steps of a job that is settled
 	}
 	n := 0
 	for _, index := range st.waitingTasks() {
@@ -156,29 +156,37 @@
 	if len(list) == n {
 		return list
 	}
-	for _, w := range p.sortedByUse(ps, st) {
-		if add(w); len(list) == n {
+	for _, w := range ps.sortedByUse(st.job.Queue.Pool) {
+		p.workersConsidered++
+		if w.wasSchedulable {
+			add(w)
+		}
+		if len(list) == n {
 			break
 		}
 	}
 	return list
 }
 
-// sortedByUse returns the workers that may get tasks of the step, the emptiest first.
-func (p *Planner) sortedByUse(ps *pass, st *step) []*worker {
-	list := slices.DeleteFunc(slices.Clone(ps.schedulable[st.job.Queue.Pool]), func(w *worker) bool { return !w.wasSchedulable })
-	p.workersConsidered += uint64(len(list))
-	slices.SortFunc(list, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.used.DominantShare(a.Capacity), b.used.DominantShare(b.Capacity)), cmp.Compare(a.ID, b.ID))
-	})
+// sortedByUse returns the workers of a pool that could get tasks at the start of the pass, the emptiest first.
+func (ps *pass) sortedByUse(pool string) []*worker {
+	list := ps.byUse[pool]
+	if list == nil {
+		list = slices.Clone(ps.schedulable[pool])
+		slices.SortFunc(list, func(a, b *worker) int {
+			return cmp.Or(cmp.Compare(a.used.DominantShare(a.Capacity), b.used.DominantShare(b.Capacity)), cmp.Compare(a.ID, b.ID))
+		})
+		ps.byUse[pool] = list
+	}
 	return list
 }
 
 // emptiestWorker returns the worker with room for a task of the step whose tasks use the smallest share of its
 // capacity, or nil.
 func (p *Planner) emptiestWorker(ps *pass, st *step, minimum permission) *worker {
-	for _, w := range p.sortedByUse(ps, st) {
-		if p.isUsableFor(st, w, minimum) {
+	for _, w := range ps.sortedByUse(st.job.Queue.Pool) {
+		p.workersConsidered++
+		if w.wasSchedulable && p.isUsableFor(st, w, minimum) {
 			return w
 		}
 	}
--- a/core/plan/pass.go
+++ b/core/plan/pass.go
@@ -51,11 +51,12 @@
 	capacity          map[string]model.Millicores // of the schedulable workers, by pool
 	accumulatingGangs int                         // gangs that accumulate capacity in this pass
 	isolatingGang     *step                       // first gang whose suspects lack workers
+	byUse             map[string][]*worker        // by pool; built when first used
 }
 
 func (p *Planner) newPass() *pass {
 	p.passNumber++
-	ps := &pass{schedulable: map[string][]*worker{}, maxFree: map[string]model.Size{}, byFree: map[string]*freeIndex{}, capacity: map[string]model.Millicores{}}
+	ps := &pass{schedulable: map[string][]*worker{}, maxFree: map[string]model.Size{}, byFree: map[string]*freeIndex{}, capacity: map[string]model.Millicores{}, byUse: map[string][]*worker{}}
 	for _, w := range p.sortByCapacityGain() {
 		w.wasSchedulable = w.acceptsTasks(p.now)
 		if w.wasSchedulable {
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -76,6 +76,9 @@
 	logLines       []string
 	endedAt        map[model.JobID]clock.Millis
 	steps          map[model.JobID][]flow.Step // as first submitted; the state drops those of settled jobs
+	// passBeforeApply runs a placement pass right before each command is applied, so that the pass that follows
+	// from the command is delayed, as on a busy leader.
+	passBeforeApply bool
 	// crashesWorker selects tasks that end the process of each worker that starts them; it may be nil.
 	crashesWorker func(flow.Task) bool
 	// crashesUnder counts the workers that crashed while they ran a task, startsAfterCrashes the later starts
@@ -277,9 +280,13 @@
 }
 
 func (sim *simulation) apply(c ledger.Command) {
+	if sim.passBeforeApply && sim.planner != nil {
+		sim.execute(sim.term, sim.planner.Step(sim.now, plan.Tick{}))
+	}
 	sim.state.Apply(c)
 	if sim.planner != nil {
 		sim.execute(sim.term, sim.planner.Step(sim.now, plan.Applied{Command: c}))
+		sim.planner.Stats() // it may be called between any two steps
 	}
 	for id, j := range sim.state.Jobs() {
 		if j.HasEnded() && sim.endedAt[id] == 0 {
@@ -412,7 +419,7 @@
 	r := &fakeAttempt{task: d.Task, attempt: d.Attempt, startedAt: sim.now}
 	f.attempts[k] = r
 	sim.starts[d.Task]++
-	sim.crashIfDeadly(f, d.Task)
+	sim.crashWorkerOf(f, d.Task)
 	sim.byStep[d.Task.StepName()] = append(sim.members(d.Task), member{f, r})
 	if step := sim.stepOf(d.Task); step.Gang {
 		sim.after(gangTimeout, func() {
@@ -428,9 +435,9 @@
 	return plan.VerdictDone
 }
 
-// crashIfDeadly ends the process of a worker shortly after the start of a task that does so, and fails the test
+// crashWorkerOf ends the process of a worker shortly after the start of a task that does so, and fails the test
 // if such a task was started too often.
-func (sim *simulation) crashIfDeadly(f *fakeWorker, t flow.Task) {
+func (sim *simulation) crashWorkerOf(f *fakeWorker, t flow.Task) {
 	if sim.crashesWorker == nil || !sim.crashesWorker(t) {
 		return
 	}
