--- a/vbridged/fleet/late.go
+++ b/vbridged/fleet/late.go
@@ -8,10 +8,10 @@
 
 // announcements holds the newest announcement that this core got from each worker. The state has only those that
 // changed something, so by itself it would take an announcement that was held up for a newer one.
-type announcements map[model.WorkerID]announcedUntil
+type announcements map[model.WorkerID]announcementID
 
-// announcedUntil identifies an announcement of an incarnation of a worker.
-type announcedUntil struct {
+// announcementID identifies an announcement of an incarnation of a worker.
+type announcementID struct {
 	startedAt clock.Millis
 	seq       uint64
 }
@@ -22,7 +22,7 @@
 	if known && (w.StartedAt < newest.startedAt || (w.StartedAt == newest.startedAt && w.Seq < newest.seq)) {
 		return true
 	}
-	a[w.ID] = announcedUntil{w.StartedAt, w.Seq}
+	a[w.ID] = announcementID{w.StartedAt, w.Seq}
 	return false
 }
 
