core/plan, vbridged/fleet: cleanup after reading the whole change

No behaviour changes. Three conditions that were tested twice are tested once. MarkWorkerLeaving is MarkWorkerLeft, for it records that the process ends now.

--- a/core/plan/capacity_test.go
+++ b/core/plan/capacity_test.go
@@ -12,6 +12,27 @@
 	"vanillabridge/core/model"
 )
 
+// shrinkGrace is how long after its announcement a smaller capacity need not hold for starts. It covers the orders
+// on their way; the users allow more, at least 5.5 s.
+const shrinkGrace = 2 * clock.Second
+
+// startCapacity returns the capacity that a start must not exceed now.
+func (sim *simulation) startCapacity(f *fakeWorker) model.Size {
+	if f.shrunkAt != 0 && sim.now < f.shrunkAt+shrinkGrace {
+		return f.Capacity.Max(f.formerCapacity)
+	}
+	return f.Capacity
+}
+
+// resize changes the capacity of a worker, which announces it.
+func (sim *simulation) resize(f *fakeWorker, size model.Size) {
+	f.formerCapacity, f.shrunkAt = sim.startCapacity(f), sim.now
+	f.Capacity = size
+	f.Seq++
+	announced := f.Worker
+	sim.after(transitTime+commitTime, func() { sim.apply(ledger.RegisterWorker{Worker: announced}) })
+}
+
 // Guards against a step that waits although the capacity of a worker has grown: a pass considers only workers
 // with new capacity for it, and these were only workers on which a task had ended.
 func TestGrownCapacityIsUsed(t *testing.T) {
--- a/core/plan/crash_test.go
+++ b/core/plan/crash_test.go
@@ -14,6 +14,48 @@
 	"vanillabridge/core/model"
 )
 
+// A task that ends the workers that start it may be started fewer than startBudgetAfterCrashes times once it
+// has ended maxCrashesBeforeBudget of them. The users state both.
+const (
+	maxCrashesBeforeBudget  = 3
+	startBudgetAfterCrashes = 3
+	crashDelay              = 10 * clock.Millisecond // from the start of such a task to the end of the process
+	crashRestartDelay       = 3300 * clock.Millisecond
+)
+
+// crashWorkerOf ends the process of a worker shortly after the start of a task that does so, and fails the test
+// if such a task was started too often.
+func (sim *simulation) crashWorkerOf(f *fakeWorker, t flow.Task) {
+	if sim.crashesWorker == nil || !sim.crashesWorker(t) {
+		return
+	}
+	if sim.crashesUnder[t] >= maxCrashesBeforeBudget {
+		if sim.startsAfterCrashes[t]++; sim.startsAfterCrashes[t] >= startBudgetAfterCrashes {
+			sim.failf("task %s is started %d times more after it has ended %d workers", t, startBudgetAfterCrashes, maxCrashesBeforeBudget)
+		}
+	}
+	sim.after(crashDelay, func() {
+		if f.alive {
+			sim.crash(f, crashRestartDelay)
+		}
+	})
+}
+
+// newCrashSimulation returns a simulation of 8 workers on which tasks take 2 s, and the first task of the job "bad"
+// crashes its workers.
+func newCrashSimulation(t *testing.T) *simulation {
+	sim := newSimulation(t, 1)
+	sim.configure(newQueue("/a/"))
+	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 2 * clock.Second, false }
+	sim.crashingJobs("bad")
+	sim.startLeader()
+	for i := range 8 {
+		sim.addWorker(fmt.Sprintf("w%d", i), workerSize)
+	}
+	sim.run(clock.Second)
+	return sim
+}
+
 // crashLines returns the log lines about crashed workers and the attempts lost with them, without their times.
 func crashLines(sim *simulation) []string {
 	var list []string
@@ -86,15 +128,7 @@
 	for _, gang := range []bool{false, true} {
 		for _, leaderChanges := range []bool{false, true} {
 			t.Run(fmt.Sprintf("gang=%t,leaders=%t", gang, leaderChanges), func(t *testing.T) {
-				sim := newSimulation(t, 1)
-				sim.configure(newQueue("/a/"))
-				sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 2 * clock.Second, false }
-				sim.crashingJobs("bad")
-				sim.startLeader()
-				for i := range 8 {
-					sim.addWorker(fmt.Sprintf("w%d", i), workerSize)
-				}
-				sim.run(clock.Second)
+				sim := newCrashSimulation(t)
 				sim.submit("/a/", "bad", flow.Step{Count: 3, Need: smallTask, Estimate: 2000, Gang: gang})
 				for i := range 40 {
 					sim.submit("/a/", fmt.Sprintf("%016x", i+1), flow.Step{Count: 2, Need: smallTask, Estimate: 2000})
@@ -113,15 +147,7 @@
 // Guards against tasks that are started again beside the task that has ended their worker, and lost with
 // the next worker too.
 func TestTasksAreLostOnceToTheSameCrashingTask(t *testing.T) {
-	sim := newSimulation(t, 1)
-	sim.configure(newQueue("/a/"))
-	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 2 * clock.Second, false }
-	sim.crashingJobs("bad")
-	sim.startLeader()
-	for i := range 8 {
-		sim.addWorker(fmt.Sprintf("w%d", i), workerSize)
-	}
-	sim.run(clock.Second)
+	sim := newCrashSimulation(t)
 	for i := range 40 {
 		sim.submit("/a/", fmt.Sprintf("%016x", i+1), flow.Step{Count: 2, Need: smallTask, Estimate: 2000})
 		sim.run(250)
--- a/core/plan/isolate.go
+++ b/core/plan/isolate.go
@@ -56,7 +56,7 @@
 	return n
 }
 
-// isolate keeps a worker for the suspects of a step.
+// isolate keeps a worker for the suspects of a step, unless it is kept already.
 func (p *Planner) isolate(w *worker, st *step) {
 	if w.isolation != nil {
 		return
@@ -72,7 +72,7 @@
 func (p *Planner) releaseIsolated() {
 	p.isolated = slices.DeleteFunc(p.isolated, func(w *worker) bool {
 		st := w.isolation.step
-		waits := st.queued && !st.job.HasEnded() && st.waitingSuspects() > 0 && p.now-w.isolation.since < maxIsolationWait
+		waits := st.queued && st.waitingSuspects() > 0 && p.now-w.isolation.since < maxIsolationWait
 		if !w.lost && (waits || w.hasProbation()) {
 			return false
 		}
@@ -247,8 +247,6 @@
 
 // adoptSuspect isolates the worker on which an earlier leader started a suspect.
 func (p *Planner) adoptSuspect(st *step, t *task) {
-	if t.worker.isolation == nil {
-		p.isolate(t.worker, st)
-	}
+	p.isolate(t.worker, st)
 	p.startProbation(t)
 }
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -115,7 +115,7 @@
 			p.assign(st, i, st.record().Tasks[i].Attempt+1, w)
 			continue
 		}
-		if w == nil && !pending {
+		if !pending {
 			w, pending = p.workerFor(ps, st, i, permissionExpired)
 		}
 		if w == nil {
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -87,15 +87,6 @@
 	startsAfterCrashes map[flow.Task]int
 }
 
-// A task that ends the workers that start it may be started fewer than startBudgetAfterCrashes times once it
-// has ended maxCrashesBeforeBudget of them. The users state both.
-const (
-	maxCrashesBeforeBudget  = 3
-	startBudgetAfterCrashes = 3
-	crashDelay              = 10 * clock.Millisecond // from the start of such a task to the end of the process
-	crashRestartDelay       = 3300 * clock.Millisecond
-)
-
 type event struct {
 	at  clock.Millis
 	seq int
@@ -435,24 +426,6 @@
 	return plan.VerdictDone
 }
 
-// crashWorkerOf ends the process of a worker shortly after the start of a task that does so, and fails the test
-// if such a task was started too often.
-func (sim *simulation) crashWorkerOf(f *fakeWorker, t flow.Task) {
-	if sim.crashesWorker == nil || !sim.crashesWorker(t) {
-		return
-	}
-	if sim.crashesUnder[t] >= maxCrashesBeforeBudget {
-		if sim.startsAfterCrashes[t]++; sim.startsAfterCrashes[t] >= startBudgetAfterCrashes {
-			sim.failf("task %s is started %d times more after it has ended %d workers", t, startBudgetAfterCrashes, maxCrashesBeforeBudget)
-		}
-	}
-	sim.after(crashDelay, func() {
-		if f.alive {
-			sim.crash(f, crashRestartDelay)
-		}
-	})
-}
-
 func (sim *simulation) stepOf(t flow.Task) flow.Step { return sim.steps[t.Job][t.Step] }
 
 // checkStart fails the test if a start violates a guarantee of the planner.
@@ -500,27 +473,6 @@
 	}
 }
 
-// shrinkGrace is how long after its announcement a smaller capacity need not hold for starts. It covers the orders
-// on their way; the users allow more, at least 5.5 s.
-const shrinkGrace = 2 * clock.Second
-
-// startCapacity returns the capacity that a start must not exceed now.
-func (sim *simulation) startCapacity(f *fakeWorker) model.Size {
-	if f.shrunkAt != 0 && sim.now < f.shrunkAt+shrinkGrace {
-		return f.Capacity.Max(f.formerCapacity)
-	}
-	return f.Capacity
-}
-
-// resize changes the capacity of a worker, which announces it.
-func (sim *simulation) resize(f *fakeWorker, size model.Size) {
-	f.formerCapacity, f.shrunkAt = sim.startCapacity(f), sim.now
-	f.Capacity = size
-	f.Seq++
-	announced := f.Worker
-	sim.after(transitTime+commitTime, func() { sim.apply(ledger.RegisterWorker{Worker: announced}) })
-}
-
 func (sim *simulation) failf(format string, args ...any) {
 	sim.t.Helper()
 	last := sim.logLines[max(0, len(sim.logLines)-400):]
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -227,9 +227,9 @@
 		(old.Leaving || !w.Leaving)
 }
 
-// MarkWorkerLeaving records that the process of a worker ends now. The outcome of its running tasks is settled when
+// MarkWorkerLeft records that the process of a worker ends now. The outcome of its running tasks is settled when
 // its address refuses connections.
-func (d *Domain) MarkWorkerLeaving(ctx context.Context, id model.WorkerID) error {
+func (d *Domain) MarkWorkerLeft(ctx context.Context, id model.WorkerID) error {
 	d.mu.Lock()
 	w, known := d.state.Workers()[id]
 	d.mu.Unlock()
