--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -157,9 +157,10 @@
 		}
 		time.Sleep(2 * time.Second)
 	}()
-	accepted := l.load(70, func() any { return simpleJob(2, 1000, 500) }, stop)
+	accepted := l.load(20, func() any { return simpleJob(2, 1000, 1500) }, stop)
 	l.awaitStates(accepted, 20*time.Second)
-	return doubleRuns(l.events())
+	events := l.events()
+	return append(doubleRuns(events), runsAfterDone(events)...)
 }
 
 // busiest returns the executor that runs most tasks.
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -93,3 +93,34 @@
 	}
 	return found
 }
+
+// runsAfterDone describes the starts of tasks that had ended done, if that end was taken note of at some time.
+func runsAfterDone(list []event) []string {
+	type endKey struct {
+		lifeKey
+		task    string
+		attempt int
+	}
+	noted := map[endKey]bool{}
+	for _, e := range list {
+		if e.Kind == "noted" && e.How == "done" {
+			noted[endKey{lifeKey{e.Executor, e.Life}, e.Task, e.Attempt}] = true
+		}
+	}
+	var found []string
+	for task, runs := range runsByTask(list) {
+		for _, a := range runs {
+			if a.how != "done" || !noted[endKey{lifeKey{a.executor, a.life}, task, a.attempt}] {
+				continue
+			}
+			for _, b := range runs {
+				if b.from > a.to {
+					found = append(found, fmt.Sprintf("task %s: attempt %d ended done on %s, which was taken note of, and attempt %d began on %s %.1f ms after the end",
+						task, a.attempt, a.executor, b.attempt, b.executor, float64(b.from-a.to)/1000))
+				}
+			}
+		}
+	}
+	slices.Sort(found)
+	return found
+}
