--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -35,6 +35,7 @@
 	}
 	open := map[runKey]event{}
 	current := map[string]int64{}
+	ended := map[lifeKey]bool{}
 	runs := map[string][]interval{}
 	var last int64
 	closeRun := func(k runKey, at int64, how string) {
@@ -49,12 +50,15 @@
 		case "life":
 			current[e.Executor] = e.Life
 		case "begin":
-			open[k] = e
+			if !ended[k.lifeKey] { // else it was recorded while the executor was being killed
+				open[k] = e
+			}
 		case "end":
 			if _, ok := open[k]; ok {
 				closeRun(k, e.At, e.How)
 			}
-		case "down": // the driver has stopped or killed the life that was current
+		case "down": // the driver is about to kill the life that was current
+			ended[lifeKey{e.Executor, current[e.Executor]}] = true
 			for other := range open {
 				if other.executor == e.Executor && other.life == current[e.Executor] {
 					closeRun(other, e.At, lostWithExecutor)
