--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,7 +9,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin executor FLAGS | standin CASE DIR")
+		fmt.Fprintln(os.Stderr, "usage: standin executor FLAGS | standin CASE DIR on|off")
 		os.Exit(exitCannotRun)
 	}
 	if os.Args[1] == "executor" {
@@ -17,9 +17,9 @@
 		return
 	}
 	run, known := cases[os.Args[1]]
-	if !known || len(os.Args) != 3 {
-		fmt.Fprintf(os.Stderr, "unknown case %q or no folder\n", os.Args[1])
+	if !known || len(os.Args) != 4 || (os.Args[3] != "on" && os.Args[3] != "off") {
+		fmt.Fprintf(os.Stderr, "unknown case %q, no folder, or not said whether the trouble is on or off\n", os.Args[1])
 		os.Exit(exitCannotRun)
 	}
-	os.Exit(runCase(os.Args[2], os.Getenv("TROUBLE") != "0", run))
+	os.Exit(runCase(os.Args[2], os.Args[3] == "on", run))
 }
