core/plan: what was sent to an ended process may run in the next one

Hypotheses, and what told them apart: 1. The client repeats a start on a new connection after a reset and reaches the next process under the same identifier. The planner repeats an unanswered start. Holds, and needs no repeat by the client. 3. The new leader of a term places the task again. Cause of the class: an announcement was taken for proof, and the attempts of the ended process were settled before anything was known of what the next one may still carry out. It has the same identifier, has seen no fencing token and no attempt, and its clock starts anew, so neither Expect-Instance nor expiresAtMs nor the fence keeps an old order out.

A later start under an identifier moves the attempts to the next process. They end when a report of that process doesn't list them. Those whose start call had not ended when the old process last answered a hold are stopped there first, so that the order is refused if it arrives later; until then they take up room there, so that it isn't overloaded either. Another identifier at an address counts once it has answered a hold. A new leader does the same with the attempts that it adopts. A process that can't be reached ends the wait with the longest lease.

Weighed: not repeating starts at all makes each start on a connection that was closed while idle wait for 1.5 s of proof, and doesn't help against (2). A wait of the longest lease for workers without any sign of a next process would cost LOST for tasks that last (10 s without a run on hampers), so the lease decides there as before.

--- a/core/plan/carry_test.go
+++ b/core/plan/carry_test.go
@@ -193,7 +193,7 @@
 }
 
 func (cs *carriers) startAt(term uint64, d plan.Start) (plan.Verdict, clock.Millis) {
-	f := cs.sim.findWorker(d.Worker)
+	f := cs.sim.addressedWorker(d.Worker)
 	if !cs.sim.isReachable(f) {
 		return plan.VerdictUnknown, 0
 	}
@@ -204,7 +204,10 @@
 
 func (cs *carriers) stop(term uint64, d plan.Stop) {
 	nothing := func() {}
-	cs.carry(term, d.Worker.ID, orderTimeout, func(*carrier, func(func())) { cs.sim.handleStop(term, d) }, nothing, nothing)
+	cs.carry(term, d.Worker.ID, orderTimeout, func(_ *carrier, reply func(func())) {
+		cs.sim.handleStop(term, d)
+		reply(func() { cs.sim.answerStop(term, d) })
+	}, nothing, nothing)
 }
 
 func (cs *carriers) hold(term uint64, incarnation plan.Incarnation, h plan.Hold) {
--- a/core/plan/crash.go
+++ b/core/plan/crash.go
@@ -24,7 +24,8 @@
 
 // markWorkerCrashed ends all attempts of an incarnation whose process has ended. A worker that was leaving
 // has ended as planned.
-func (p *Planner) markWorkerCrashed(w *worker, cause string) {
+func (p *Planner) markWorkerCrashed(w *worker, shown evidence) {
+	cause := evidenceRules[shown].cause
 	if w.Leaving || w.lost {
 		p.markWorkerLost(w, cause)
 		return
@@ -50,8 +51,11 @@
 // endUnreachableTasks ends the tasks of a worker whose lease has expired. A worker whose address refuses connections
 // has probably crashed, but a link that is cut may refuse them too.
 func (p *Planner) endUnreachableTasks(w *worker) {
-	for _, t := range w.selectTasks(anyTask) {
-		end, cause := ledger.EndLost, "lease ended without contact"
+	for _, t := range w.selectTasks(func(t *task) bool { return t.lapsesAt == 0 || t.hasLapsed(p.now) }) {
+		end, cause := ledger.EndLost, evidenceRules[evidenceLease].cause
+		if t.endIfAbsent != 0 {
+			end = t.endIfAbsent
+		}
 		if w.refusedConns > 0 {
 			cause = "lease ended while connections were refused"
 			if t.crashEnd() != ledger.EndLost {
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -63,8 +63,10 @@
 	FailureNoAnswer Failure = iota + 1
 	// FailureRefused means that the connection was refused: nothing listens at the address.
 	FailureRefused
-	// FailureOtherIncarnation means that another incarnation answered at the address.
+	// FailureOtherIncarnation means that a worker with another identifier answered at the address.
 	FailureOtherIncarnation
+	// FailureRestarted means that a process with the worker's identifier answered that has started later.
+	FailureRestarted
 )
 
 // HoldFailed reports that a hold failed.
--- a/core/plan/isolate.go
+++ b/core/plan/isolate.go
@@ -237,6 +237,9 @@
 	if w.Leaving {
 		wait = leavingHoldWait
 	}
+	if w.awaitsStopProof() {
+		return minHoldInterval
+	}
 	if w.isolation == nil {
 		return wait
 	}
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -234,14 +234,10 @@
 		t := &task{name: name, attempt: record.Attempt, step: st, stage: stageRunning, startSentAt: p.now, startedAt: p.now, progressedAt: p.now, partial: true}
 		st.tasks[i] = t
 		w := p.workers[record.Worker]
-		if w == nil || w.StartedAt != record.WorkerStartedAt {
+		if w == nil {
 			t.worker = &worker{Worker: flow.Worker{ID: record.Worker, StartedAt: record.WorkerStartedAt}, tasks: map[attemptKey]*task{}, lost: true}
-			end, cause := ledger.EndLost, "worker is gone"
-			if w != nil {
-				end, cause = ledger.EndWorkerCrash, "worker started again"
-			}
 			t.countForTeam() // until its end is committed
-			p.endTask(t, end, "", cause)
+			p.endTask(t, ledger.EndLost, "", "worker is gone")
 			continue
 		}
 		t.worker = w
@@ -249,6 +245,11 @@
 			p.adoptSuspect(st, t)
 		}
 		t.charge(w)
+		t.startCallEndedAt = p.now + maxStartCallTime // the calls of an earlier leader have ended by then
+		if w.StartedAt != record.WorkerStartedAt {
+			t.endIfAbsent = ledger.EndWorkerCrash
+			p.stopInNextProcess(t)
+		}
 	}
 }
 
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -98,6 +98,10 @@
 		}
 	case 2:
 		sim.startLeader()
+	case 3:
+		if f.alive {
+			sim.restart(f, clock.Millis(rapid.IntRange(50, 1000).Draw(rt, "restart")))
+		}
 	}
 }
 
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -97,9 +97,6 @@
 		p.addJob(state.Jobs()[id])
 	}
 	p.meterJobs()
-	for _, w := range p.sortedWorkers() {
-		p.replaceAtAddress(w) // only now, so that the tasks of the worker that is replaced end with it
-	}
 	// The caller of New logs the number of workers when it starts the planner, so the log needs no line
 	// for each.
 	p.decisions = slices.DeleteFunc(p.decisions, func(d Decision) bool {
@@ -182,7 +179,6 @@
 	case ledger.RegisterWorker:
 		if w, ok := p.state.Workers()[c.Worker.ID]; ok {
 			p.addWorker(p.now, w)
-			p.replaceAtAddress(p.workers[w.ID])
 		}
 	case ledger.RemoveWorker:
 		p.removeWorker(c.ID, c.StartedAt)
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -25,9 +25,11 @@
 	if !w.hasReported {
 		w.hasReported = true
 		p.passNeeded = true
+		p.replaceAtAddress(w)
 		p.logEvent(LogEvent{Event: "worker answers", Worker: w.ID, Age: e.ReceivedAt - e.SentAt})
 	}
 	w.reportedClock, w.reportedAt = e.Clock, e.ReceivedAt
+	w.answeredHoldSentAt = max(w.answeredHoldSentAt, e.SentAt)
 	if elapsed := max(e.ReceivedAt-e.SentAt, 1); w.minRoundTrip == 0 || elapsed < w.minRoundTrip {
 		w.minRoundTrip = elapsed
 	}
@@ -43,9 +45,13 @@
 	}
 	if len(e.Finished) < truncatedEndsLimit {
 		for _, t := range w.selectTasks(func(t *task) bool {
-			return !listed[t.key()] && t.stage != stageAssigning && e.Clock > t.absenceProvenAfter
+			return !listed[t.key()] && t.stage != stageAssigning && (e.Clock > t.absenceProvenAfter || t.hasLapsed(p.now))
 		}) {
-			p.endTask(t, ledger.EndLost, "", "not listed by its worker")
+			end, cause := ledger.EndLost, "not listed by its worker"
+			if t.endIfAbsent != 0 {
+				end, cause = t.endIfAbsent, evidenceRules[evidenceLaterStart].cause
+			}
+			p.endTask(t, end, "", cause)
 			p.stopGangMembers(t, "a member never started")
 		}
 	}
@@ -80,6 +86,9 @@
 		return
 	}
 	t.step.job.started = true
+	if t.endIfAbsent != 0 && t.stopReason == "" {
+		p.stopInNextProcess(t)
+	}
 	if t.stage == stageStarting {
 		t.stage, t.mayStillStart = stageRunning, false
 		t.startedAt, t.progressedAt = p.now, p.now
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -35,6 +35,14 @@
 	// absenceProvenAfter is the time on the worker's clock after which a report that doesn't list the
 	// attempt proves that it doesn't run: the expiry of the last start order, or the time of its answer.
 	absenceProvenAfter clock.Millis
+	// openStarts counts the calls with a start order that have not ended, and startCallEndedAt is when the last one did.
+	openStarts       int
+	startCallEndedAt clock.Millis
+	// endIfAbsent is set if the attempt was moved to the next process of its worker: how it has ended if that process
+	// doesn't list it.
+	endIfAbsent ledger.End
+	// lapsesAt is when the attempt has ended at the latest if a later process of its worker runs it, or 0.
+	lapsesAt clock.Millis
 	// mayStillStart is set while a start order that got no answer may still be carried out.
 	mayStillStart bool
 	startsSent    int          // number of start orders sent
@@ -137,6 +145,7 @@
 	w.leaseEnd = max(w.leaseEnd, expires)
 	t.stage = stageStarting
 	t.startsSent++
+	t.openStarts++
 	t.partial = t.step.checkpoint(t.name.Index) != ""
 	t.startSentAt = p.now
 	p.decisions = append(p.decisions, Start{
@@ -186,14 +195,21 @@
 	}
 }
 
-// handleOrderAnswered handles the answer to a start order. The outcome of a stop order is taken from reports.
+// handleOrderAnswered handles the answer to an order.
 func (p *Planner) handleOrderAnswered(e OrderAnswered) {
-	w := p.findWorker(e.Worker)
-	if w == nil || e.Stop {
+	t := p.findAttempt(attemptKey{e.Task, e.Attempt})
+	if t == nil || t.worker.ID != e.Worker.ID {
 		return
 	}
-	t := w.tasks[attemptKey{e.Task, e.Attempt}]
-	if t == nil || t.stage != stageStarting {
+	if e.Stop {
+		p.handleStopAnswered(t, e)
+		return
+	}
+	t.openStarts, t.startCallEndedAt = t.openStarts-1, p.now
+	if e.Verdict == VerdictUnknown {
+		t.startCallEndedAt = max(p.now, t.startSentAt+maxStartCallTime) // a relay may still make the call
+	}
+	if t.stage != stageStarting || t.worker.lost || t.worker.incarnation() != e.Worker {
 		return
 	}
 	switch e.Verdict {
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -39,6 +39,8 @@
 	// minRoundTrip is the shortest time that a hold took, or 0. A worker with ends to report answers at
 	// once, so this approximates the network round trip.
 	minRoundTrip clock.Millis
+	// answeredHoldSentAt is when the newest hold was sent that the worker has answered.
+	answeredHoldSentAt clock.Millis
 	// leaseEnd is the highest expiry of a lease or start order sent to the worker, on the worker's clock.
 	// Until the first report, priorLeaseEnd is the time on the leader's clock by which all leases of
 	// earlier leaders have ended.
@@ -124,9 +126,6 @@
 		}
 		return
 	}
-	if old != nil {
-		p.markWorkerCrashed(old, "worker started again")
-	}
 	w := &worker{
 		Worker: announced, tasks: map[attemptKey]*task{}, addedAt: now, strayStopSentAt: map[attemptKey]clock.Millis{},
 		// Leases of earlier leaders end by then. The extra second covers start orders that they sent last.
@@ -137,31 +136,29 @@
 	}
 	p.workers[announced.ID] = w
 	p.workersByID, p.workersByCapacityGain = nil, nil
+	if old != nil {
+		p.moveToNextProcess(old, w)
+	}
 	p.decisions = append(p.decisions, WatchWorker{Worker: w.incarnation()})
 	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: announced.ID, Cause: announced.Capacity.String()})
 }
 
-// replaceAtAddress compares a worker with the one that had its address before: two processes cannot listen there, so
-// the one that started first has ended.
+// replaceAtAddress records that a worker has answered at its address, so that the one that was there before has ended.
 func (p *Planner) replaceAtAddress(w *worker) {
 	other := p.workersByAddress[w.Address]
-	if other == nil || other.ID == w.ID {
-		p.workersByAddress[w.Address] = w
-		return
+	p.workersByAddress[w.Address] = w
+	if other != nil && other.ID != w.ID && other.Address == w.Address && p.workers[other.ID] == other {
+		p.removeCrashed(other)
 	}
-	ended := other
-	switch {
-	case other.StartedAt == 0 || w.StartedAt == 0 || other.StartedAt == w.StartedAt:
+}
+
+// removeCrashed ends and removes a worker at whose address another one has answered.
+func (p *Planner) removeCrashed(w *worker) {
+	if w.lost {
 		return
-	case other.StartedAt > w.StartedAt:
-		ended = w // its announcement is late
-	default:
-		p.workersByAddress[w.Address] = w
-	}
-	if !ended.lost {
-		p.markWorkerCrashed(ended, "another worker listens at its address")
-		p.propose(ledger.RemoveWorker{ID: ended.ID, StartedAt: ended.StartedAt})
 	}
+	p.markWorkerCrashed(w, evidenceOtherWorker)
+	p.propose(ledger.RemoveWorker{ID: w.ID, StartedAt: w.StartedAt})
 }
 
 // markWorkerLost ends all attempts of an incarnation that provably runs no tasks any more.
@@ -209,14 +206,15 @@
 	}
 	switch e.Cause {
 	case FailureOtherIncarnation:
-		p.markWorkerCrashed(w, "another incarnation answered at its address")
-		p.propose(ledger.RemoveWorker{ID: w.ID, StartedAt: w.StartedAt})
+		p.removeCrashed(w)
+	case FailureRestarted:
+		p.noteRestart(w)
 	case FailureRefused:
 		// A link that is cut may refuse connections too, so only a worker that has left is certain to have ended.
 		// The tasks of any other one end with its lease, or when another worker is found at its address.
 		w.unresponsive = true
 		if w.refusedConns++; w.refusedConns >= maxRefusedConns && w.HasLeft() {
-			p.markWorkerLost(w, "it has left, and nothing listens at its address")
+			p.markWorkerLost(w, evidenceRules[evidenceLeft].cause)
 			p.propose(ledger.RemoveWorker{ID: w.ID, StartedAt: w.StartedAt})
 		}
 	case FailureNoAnswer:
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -145,10 +145,11 @@
 	ends               []plan.EndedAttempt
 	lastEndNumber      int64
 	highestAttempt     map[flow.Task]int
-	formerCapacity     model.Size        // before it shrank
-	shrunkAt           clock.Millis      // when the capacity shrank last, or 0
-	leaseLapses        int               // number of times that the lease expired
-	lapsesAtSuccess    map[flow.Task]int // leaseLapses when a task succeeded
+	formerCapacity     model.Size              // before it shrank
+	shrunkAt           clock.Millis            // when the capacity shrank last, or 0
+	leaseLapses        int                     // number of times that the lease expired
+	lapsesAtSuccess    map[flow.Task]int       // leaseLapses when a task succeeded
+	stopped            map[string]clock.Millis // its clock when it was ordered to stop an attempt
 }
 
 type fakeAttempt struct {
@@ -260,6 +261,7 @@
 				break
 			}
 			sim.after(transitTime, func() { sim.handleStop(term, d) })
+			sim.after(2*transitTime, func() { sim.answerStop(term, d) })
 		case plan.TicketRequest:
 			sim.ticketCalls++
 			if sim.failingCallers[d.Caller] {
@@ -383,6 +385,15 @@
 	return f
 }
 
+// addressedWorker returns the process that gets an order for a worker: orders name it by its identifier, which a later
+// process may have too.
+func (sim *simulation) addressedWorker(w flow.Worker) *fakeWorker {
+	if f := sim.workers[w.ID]; f != nil && f.Address == w.Address {
+		return f
+	}
+	return nil
+}
+
 func (sim *simulation) isReachable(f *fakeWorker) bool { return f != nil && f.alive && !f.partitioned }
 
 // sendStart delivers a start order after one transit, late, or never.
@@ -414,16 +425,34 @@
 		return
 	}
 	sim.after(transitTime, func() {
-		if f := sim.findWorker(d.Worker); !sim.isReachable(f) {
+		f := sim.addressedWorker(d.Worker)
+		if !sim.isReachable(f) {
 			if f != nil && f.partitioned && f.refuses {
 				answer(plan.VerdictUnhealthy, 0)
 				return
 			}
-			sim.after(600, func() { answer(plan.VerdictUnknown, 0) })
+			sim.retryStart(term, d, answer)
 			return
 		}
 		v := sim.handleStart(term, d)
-		answer(v, sim.clockOf(sim.findWorker(d.Worker)))
+		answer(v, sim.clockOf(f))
+	})
+}
+
+// startTimeout is how long a call with a start order lasts without an answer.
+const startTimeout = 600 * clock.Millisecond
+
+// retryStart delivers a start order that found no process, once more before its call ends: a connection that is opened or
+// retried meanwhile reaches the process that listens at the address by then.
+func (sim *simulation) retryStart(term uint64, d plan.Start, answer func(plan.Verdict, clock.Millis)) {
+	retryAfter := clock.Millis(sim.rng.Int64N(int64(startTimeout)))
+	sim.after(retryAfter, func() {
+		f := sim.addressedWorker(d.Worker)
+		if !sim.isReachable(f) || f.StartedAt == d.Worker.StartedAt {
+			sim.after(startTimeout-retryAfter, func() { answer(plan.VerdictUnknown, 0) })
+			return
+		}
+		answer(sim.handleStart(term, d), sim.clockOf(f))
 	})
 }
 
@@ -431,7 +460,7 @@
 
 // handleStart handles a start order as a worker does, and checks the guarantees of the planner.
 func (sim *simulation) handleStart(term uint64, d plan.Start) plan.Verdict {
-	f := sim.findWorker(d.Worker)
+	f := sim.addressedWorker(d.Worker)
 	if !sim.isReachable(f) {
 		return plan.VerdictUnknown
 	}
@@ -450,7 +479,7 @@
 	if sim.clockOf(f) > f.leaseEnd {
 		f.leaseLapses++
 	}
-	f.leaseEnd = max(f.leaseEnd, d.Expires)
+	f.leaseEnd = max(f.leaseEnd, min(d.Expires, sim.clockOf(f)+maxLease))
 	if d.Attempt <= f.highestAttempt[d.Task] {
 		return plan.VerdictAttemptEnded
 	}
@@ -638,11 +667,15 @@
 }
 
 func (sim *simulation) handleStop(term uint64, d plan.Stop) {
-	f := sim.findWorker(d.Worker)
+	f := sim.addressedWorker(d.Worker)
 	if !sim.isReachable(f) || term < f.fencingToken || sim.rng.Float64() < sim.lostAnswerShare {
 		return
 	}
 	f.fencingToken = term
+	if f.stopped == nil {
+		f.stopped = map[string]clock.Millis{}
+	}
+	f.stopped[attemptKey(d.Task, d.Attempt)] = sim.clockOf(f)
 	f.highestAttempt[d.Task] = max(f.highestAttempt[d.Task], d.Attempt)
 	r := f.attempts[attemptKey(d.Task, d.Attempt)]
 	if r == nil {
@@ -651,6 +684,17 @@
 	sim.after(stopTime, func() { sim.endAttempt(f, r, ledger.EndStopped) })
 }
 
+// answerStop answers a stop order that the worker has carried out; other answers tell the planner nothing.
+func (sim *simulation) answerStop(term uint64, d plan.Stop) {
+	f := sim.addressedWorker(d.Worker)
+	if f == nil || !f.alive || f.partitioned {
+		return
+	}
+	if at, ok := f.stopped[attemptKey(d.Task, d.Attempt)]; ok {
+		sim.step(term, plan.OrderAnswered{Worker: plan.Incarnation{ID: d.Worker.ID, StartedAt: d.Worker.StartedAt}, Task: d.Task, Attempt: d.Attempt, Stop: true, Verdict: plan.VerdictDone, Clock: at})
+	}
+}
+
 // sendHold keeps one hold in progress to a worker, as the leader's runtime does.
 func (sim *simulation) sendHold(term uint64, incarnation plan.Incarnation) {
 	if term != sim.term {
@@ -677,7 +721,14 @@
 		})
 	}
 	if f == nil {
-		failHold(2*transitTime, plan.FailureOtherIncarnation)
+		cause := plan.FailureOtherIncarnation
+		if next := sim.workers[h.Worker.ID]; next != nil && next.StartedAt > h.Worker.StartedAt {
+			cause = plan.FailureRestarted
+			if !sim.isReachable(next) {
+				cause = plan.FailureNoAnswer
+			}
+		}
+		failHold(2*transitTime, cause)
 		return
 	}
 	if (!f.alive && !f.vanishes) || (f.partitioned && f.refuses) {
@@ -795,6 +846,15 @@
 	})
 }
 
+// restart stops a worker's process and later starts another one under its identifier.
+func (sim *simulation) restart(f *fakeWorker, delay clock.Millis) {
+	f.alive, f.vanishes = false, true
+	for _, r := range f.attempts {
+		sim.crashesUnder[r.task]++
+	}
+	sim.after(delay, func() { sim.addWorkerAt(f.Address, string(f.ID), f.Capacity, f.Labels...) })
+}
+
 // countStarts counts the starts of all tasks.
 func (sim *simulation) countStarts() int {
 	total := 0
