core/plan: a step that was placed is offered all idle workers again

Hypotheses: (1) the tasks of the lost worker are never ended: ruled out by the log, "task ended ... lease ended without contact" comes after the lease; (2) the tickets are gone and no call is made: ruled out, the test fails on a queue without tickets too; (3) the step waits but no worker is offered. Holds: triedInPass stays set from the pass that placed the step, and hides all workers whose free capacity has not grown since. In that pass they had room, so the mark said nothing.

Change: the mark is set only if the pass leaves tasks of the step waiting, and cleared otherwise.

The test fails before for a single task and for tasks that last, with and without tickets. A gang runs again before and after.

--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -71,9 +71,10 @@
 		if st.stoppedByCap {
 			continue // workers that it passed over still have capacity for it
 		}
-		st.triedInPass = p.passNumber
 		st.retryAt = p.now + ps.retryDelay(st)
+		st.triedInPass = 0
 		if len(st.waitingTasks()) > 0 {
+			st.triedInPass = p.passNumber
 			ps.waitingAhead++
 			p.noteShareWait(st)
 		}
