vbridged/fleet: what another writer announces changes nothing

A heartbeat with a service that no configuration names, at the address of that worker, was acknowledged.

Hypotheses: (1) the heartbeat is stored and its later start at the same address is taken for the end of the worker: the log shows "worker crashed ... another worker listens at its address" right after "worker announced" of the other id. (2) The worker itself stops its tasks: ruled out, its record has no stop. (3) The first hold to the other id disturbs the worker: ruled out, it is answered with 421 and changes nothing.

Cause: any well-formed heartbeat counted as one of this domain, and was remembered as the newest announcement of its id before anything was checked.

Change: RecordWorker refuses a worker whose pool the configuration doesn't name (404, the caller may come back once it does), and one whose fields are out of range (400 with the field, value and limit), before it changes anything. A process that is known goes on announcing itself after its pool was removed, so that it can leave. Before the first configuration all pools are taken, since no task can run then.

--- a/core/flow/config.go
+++ b/core/flow/config.go
@@ -1,12 +1,10 @@
 package flow
 
 import (
-	"math"
 	"strings"
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
-	"vanillabridge/core/model"
 )
 
 // Queue accepts jobs under a host name and a path prefix and runs them on the workers of a pool.
@@ -97,6 +95,9 @@
 		case q.Timeout <= 0:
 			return fault.Wrap(fault.ErrInvalid, "queue %q: timeout %s is not above 0", q.Name, q.Timeout)
 		}
+		if err := q.checkLimits(); err != nil {
+			return err
+		}
 		queueNames[key] = q.Name
 	}
 	if err := c.checkEndpoints(); err != nil {
@@ -105,6 +106,39 @@
 	return c.Access.Check()
 }
 
+// Limits of a queue, beyond which sums of its values could overflow.
+const (
+	maxDuration = clock.Millis(10 * 365 * 24 * 60 * 60 * 1000)
+	maxCount    = 1_000_000
+)
+
+// checkLimits returns an error that names the field and the limit if a number of the queue is negative or absurdly large.
+func (q Queue) checkLimits() error {
+	type field struct {
+		name  string
+		value float64
+		limit float64
+	}
+	list := []field{
+		{"timeout", float64(q.Timeout), float64(maxDuration)},
+		{"target", float64(q.Target), float64(maxDuration)},
+		{"stretch", q.Stretch, maxCount},
+		{"attempts", float64(q.Attempts), maxCount},
+		{"priority", float64(q.Priority), maxCount},
+	}
+	if t := q.TicketPolicy; t != nil {
+		list = append(list, field{"ticket base duration", float64(t.BaseDuration), float64(maxDuration)},
+			field{"ticket duration for each worker", float64(t.PerWorkerMicros), float64(maxDuration)},
+			field{"ticket validity", float64(t.TicketValidity), float64(maxDuration)})
+	}
+	for _, f := range list {
+		if !(f.value >= 0 && f.value <= f.limit) {
+			return fault.Wrap(fault.ErrInvalid, "queue %q: %s %g is not from 0 to %g", q.Name, f.name, f.value, f.limit)
+		}
+	}
+	return nil
+}
+
 // checkEndpoints returns an error if two queues can't be told apart by their endpoint, which says whether a queue is
 // public: a host with a slash could make the queue of another host public.
 func (c Config) checkEndpoints() error {
@@ -130,45 +164,3 @@
 	}
 	return q, rest, ok
 }
-
-// Worker is the description of one incarnation of a worker, as the worker announced it.
-type Worker struct {
-	_         struct{} `cbor:",toarray"`
-	ID        model.WorkerID
-	StartedAt clock.Millis // start of this incarnation, since 1970; 0 if unknown
-	Pool      string
-	// Address is the network address for orders.
-	Address  string
-	Zone     model.Zone
-	Rack     model.Rack
-	Capacity model.Size
-	Labels   []string
-	Leaving  bool
-	// Seq is the sequence number of the announcement within this incarnation.
-	Seq uint64
-}
-
-// seqLeft is the number of the last announcement of a worker, with which it leaves.
-const seqLeft = math.MaxUint64
-
-// WithLeft returns the worker after its last announcement: its process ends by itself.
-func (w Worker) WithLeft() Worker {
-	w.Leaving, w.Seq = true, seqLeft
-	return w
-}
-
-// HasLeft reports whether the worker has announced that its process ends now.
-func (w Worker) HasLeft() bool { return w.Leaving && w.Seq == seqLeft }
-
-// HasLabel reports whether the worker has a label. Every worker has the empty label.
-func (w Worker) HasLabel(label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, l := range w.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
-}
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -216,7 +217,16 @@
 // RecordWorker records the data that a worker announces about itself, and returns once they are
 // committed; data that are known already are not committed again. The returned address is that of the
 // core to which the worker should send later announcements, or "" for this one.
+//
+// An announcement that can't be that of a worker of this domain changes nothing, not even what is known of the newest
+// announcement: its error is of fault.ErrInvalid, or of fault.ErrNotFound if no configuration names its pool.
 func (d *Domain) RecordWorker(ctx context.Context, w flow.Worker) (string, error) {
+	if err := w.Check(unixNow()); err != nil {
+		return "", err
+	}
+	if err := d.checkPool(w); err != nil {
+		return "", err
+	}
 	leader, term, leads := d.group.Leader()
 	nextAddress := d.nearAddress(w, model.Instance(leader))
 	if leads && nextAddress == "" {
@@ -240,6 +250,21 @@
 	return nextAddress, err
 }
 
+// checkPool returns an error if the configuration names no pool of the worker. A known process may go on announcing itself
+// after its pool was removed: it may run tasks, and has to be able to leave.
+func (d *Domain) checkPool(w flow.Worker) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.state.Config()
+	if c.Version == 0 || slices.ContainsFunc(c.Pools, func(p flow.Pool) bool { return p.Name == w.Pool }) {
+		return nil
+	}
+	if old, known := d.state.Workers()[w.ID]; known && old.StartedAt == w.StartedAt && old.Pool == w.Pool {
+		return nil
+	}
+	return fault.Wrap(fault.ErrNotFound, "worker %s: pool %q is not one of the %d of configuration version %d", w.ID, w.Pool, len(c.Pools), c.Version)
+}
+
 // isRedundantAnnouncement reports whether an announcement changes nothing. One that is out of order or
 // comes from an earlier incarnation of the worker is ignored and so counts as redundant.
 func isRedundantAnnouncement(old, w flow.Worker) bool {
