core/flow: a job whose counts overflow no longer ends every core

Cause: Job.Check added the counts of the steps and compared the sum, which had overflowed. The job was accepted, committed, and each core that applied the entry ended with "makeslice: len out of range", again after each restart since the entry is in the log (shown by a call of newJob on the code before). A job of 20,000 tasks in 10,000 occurrences passed too, and would need far more memory than a core has.

Change: each count is checked by itself; all tasks of all occurrences are at most 400,000; sizes and times have limits beyond which their sums would overflow. The leader checks a job again before it commits it, since a front of an earlier version may let it pass. Several jobs below the limit can still add up to more memory than a core has (open, see the report of the review).

--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -94,6 +94,7 @@
 	maxSteps       = 256
 	maxTasks       = 20_000 // per occurrence
 	maxOccurrences = 10_000
+	maxRecords     = 400_000 // tasks of all occurrences
 )
 
 // Check returns an error that says why the job can't be accepted, or nil.
@@ -107,6 +108,9 @@
 	if j.Occurrences < 0 || j.Occurrences > maxOccurrences || (j.Occurrences > 1 && j.Period <= 0) {
 		return fault.Wrap(fault.ErrInvalid, "job has invalid number of occurrences %d or period %s", j.Occurrences, j.Period)
 	}
+	if j.Period < 0 || j.Period > maxDuration || j.FirstDue < 0 || j.FirstDue > maxDue {
+		return fault.Wrap(fault.ErrInvalid, "job has period %s, want 0 to %s, or first due time %d, want 0 to %d", j.Period, maxDuration, int64(j.FirstDue), int64(maxDue))
+	}
 	total := 0
 	for i, s := range j.Steps {
 		if err := s.check(i); err != nil {
@@ -117,13 +121,26 @@
 	if total > maxTasks {
 		return fault.Wrap(fault.ErrInvalid, "job has %d tasks per occurrence, more than the limit of %d", total, maxTasks)
 	}
+	if n := total * j.OccurrenceCount(); n > maxRecords {
+		return fault.Wrap(fault.ErrInvalid, "job has %d tasks in %d occurrences, more than the limit of %d", n, j.OccurrenceCount(), maxRecords)
+	}
 	return nil
 }
 
+// maxDue is the latest time at which an occurrence may be due first, since 1970.
+const maxDue = 100 * maxDuration
+
 func (s Step) check(index int) error {
+	if s.Count > maxTasks { // before it is added to others, which could overflow
+		return fault.Wrap(fault.ErrInvalid, "step %d has %d tasks, more than the limit of %d", index, s.Count, maxTasks)
+	}
 	if s.Count < 1 || s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.Accel < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return fault.Wrap(fault.ErrInvalid, "step %d: count %d is below 1, or need %s, tasks per worker %d or unavailable tasks %d is negative", index, s.Count, s.Need, s.MaxPerWorker, s.MaxUnavailable)
 	}
+	if n := s.Need; n.CPU > maxMillicores || n.Memory > maxMebibytes || n.Accel > maxAccels || s.Estimate < 0 || s.Estimate > maxDuration || s.TailLatencyLimit < 0 || s.TailLatencyLimit > maxDuration {
+		return fault.Wrap(fault.ErrInvalid, "step %d: need %s is above %s, or estimate %s or tail latency %s is not from 0 to %s",
+			index, n, model.Size{CPU: maxMillicores, Memory: maxMebibytes, Accel: maxAccels}, s.Estimate, s.TailLatencyLimit, maxDuration)
+	}
 	for _, a := range s.After {
 		if a < 0 || a >= index {
 			return fault.Wrap(fault.ErrInvalid, "step %d depends on step %d, which is not an earlier step", index, a)
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -118,6 +118,12 @@
 	if r.Kind == KindSubmit && r.Job == nil {
 		return Reply{}, fault.Wrap(fault.ErrInvalid, "submission to %s has no job", r.Path)
 	}
+	if r.Kind == KindSubmit {
+		if err := r.Job.Check(); err != nil { // an earlier version of a front may let it pass
+			klog.InfoS("submission refused", "request", r.ID, "path", r.Path, "from", from, "error", fault.Text(err))
+			return Reply{Status: StatusInvalid, Version: d.config().Version}, nil
+		}
+	}
 	enforced, refusal, err := d.checkKey(r)
 	if err != nil || refusal.Status != "" {
 		return refusal, err
