--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -35,7 +35,8 @@
 
 // RunningAttempt is the progress of an attempt that a worker runs.
 type RunningAttempt struct {
-	Task       flow.Task
+	Task flow.Task
+	// Attempt is 0 if the worker runs an attempt of the task of which nothing else is known.
 	Attempt    int
 	Checkpoint string
 	Percent    int
--- a/core/plan/outcome_test.go
+++ b/core/plan/outcome_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
 	"vanillabridge/core/plan"
@@ -70,3 +72,30 @@
 		t.Errorf("the job whose run failed once took %d ms, want at most 10000", took)
 	}
 }
+
+// Guards against a task that is taken for lost because its worker lists it in a row of which nothing else can be read.
+func TestUnknownAttemptIsNotTakenForLost(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.configure(newQueue("/a/"))
+	sim.startLeader()
+	f := sim.addWorker("w0", workerSize)
+	sim.run(500)
+	sim.submit("/a/", "j", flow.Step{Count: 2, Need: smallTask, Estimate: 20_000})
+	sim.run(300)
+	events := sim.planner.Step(sim.now, plan.HoldAnswered{
+		Worker: plan.Incarnation{ID: f.ID, StartedAt: f.StartedAt}, SentAt: sim.now, ReceivedAt: sim.now, Clock: sim.clockOf(f),
+		Running: []plan.RunningAttempt{{Task: flow.Task{Job: "j"}}},
+	})
+	var ended []string
+	for _, d := range events {
+		if e, ok := d.(plan.LogEvent); ok && e.Event == "task ended" {
+			ended = append(ended, e.Task)
+		}
+		if s, ok := d.(plan.Stop); ok {
+			t.Errorf("attempt %d is stopped", s.Attempt)
+		}
+	}
+	if diff := cmp.Diff([]string{"j.0.0.1"}, ended); diff != "" {
+		t.Errorf("tasks taken for lost (-want +got):\n%s", diff)
+	}
+}
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -39,6 +39,12 @@
 		p.handleEndedAttempt(w, f, e.Clock)
 	}
 	for _, r := range e.Running {
+		if r.Attempt == 0 {
+			for _, t := range w.selectTasks(func(t *task) bool { return t.name == r.Task }) {
+				listed[t.key()] = true
+			}
+			continue
+		}
 		key := attemptKey{r.Task, r.Attempt}
 		listed[key] = true
 		p.handleRunningAttempt(w, key, r, e.Clock)
