vbridged/fleet: a leave call counts only for a worker that has announced it

Cause: a leave call names an identifier, not a process. A late one of an earlier process marked the present one as left: it got no work for as long as it lived, and two refused connections, which a cut link can give too, were then proof that it had ended, so that its tasks started elsewhere while they ran (TWICE).

Change: the call is ignored, with a log line, unless the process that is known has announced that it leaves, as it does before a planned end. A process whose announcements never arrived ends with the lease of its tasks, like one that crashed. Two small things beside it: a start call that ended late can no longer make an earlier one seem to have ended sooner, and the last bound of a stop without an answer holds only for attempts that wait for one.

TestLeaveCallOfEarlierProcessChangesNothing fails before ("announced leaving false has left: true").

--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -70,7 +70,7 @@
 	case listed || t.stage == stageAssigning:
 		t.missingSince = 0
 		return false
-	case t.hasLapsed(p.now):
+	case t.absenceProvenAfter == neverProven && t.hasLapsed(p.now):
 		return true
 	case e.Clock <= t.absenceProvenAfter:
 		return false
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -207,9 +207,9 @@
 		p.handleStopAnswered(t, e)
 		return
 	}
-	t.openStarts, t.startCallEndedAt = t.openStarts-1, p.now
+	t.openStarts, t.startCallEndedAt = t.openStarts-1, max(p.now, t.startCallEndedAt)
 	if e.Verdict == VerdictUnknown {
-		t.startCallEndedAt = max(p.now, t.startSentAt+maxStartCallTime) // a relay may still make the call
+		t.startCallEndedAt = max(t.startCallEndedAt, t.startSentAt+maxStartCallTime) // a relay may still make the call
 	}
 	if t.stage != stageStarting || t.worker.lost || t.worker.incarnation() != e.Worker {
 		return
--- a/vbridged/fleet/odd_test.go
+++ b/vbridged/fleet/odd_test.go
@@ -76,3 +76,27 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a late leave call of an earlier process under the same identifier: the process that has it now would get no
+// work for as long as it lives, and its tasks would start elsewhere once a link that is cut refused connections (TWICE).
+func TestLeaveCallOfEarlierProcessChangesNothing(t *testing.T) {
+	d, _ := startDomain(t)
+	defer stopDomain(d)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	w := announced(1, 16_000)
+	for _, step := range []struct {
+		leaving, left bool
+	}{{false, false}, {true, true}} {
+		w.Seq, w.Leaving = w.Seq+1, step.leaving
+		if _, err := d.RecordWorker(ctx, w); err != nil {
+			t.Fatal(err)
+		}
+		if err := d.MarkWorkerLeft(ctx, w.ID); err != nil {
+			t.Fatal(err)
+		}
+		if got := d.HasLeft(w.ID); got != step.left {
+			t.Errorf("worker that announced leaving %t has left: %t, want %t", step.leaving, got, step.left)
+		}
+	}
+}
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -291,6 +291,11 @@
 	if !known || w.HasLeft() {
 		return nil
 	}
+	if !w.Leaving {
+		// The call names no process, so it may be a late one of a process that had the identifier before.
+		klog.InfoS("leave call ignored: the worker has not announced that it leaves", "worker", id, "born", int64(w.StartedAt))
+		return nil
+	}
 	_, err := d.proposeCommand(ctx, ledger.RegisterWorker{Worker: w.WithLeft()})
 	klog.InfoS("worker leaves", "worker", id, "error", errorText(err))
 	if err == nil {
