core/plan: workers with tasks that last are tried again after a suspension

Hypotheses: (1) the suspension is extended again and again: ruled out, no further line "worker suspended" after the failures ended; (2) the worker is on trial for ever: isSuspended waits for a success while the worker has any task, and a task that lasts has none.

Change: only attempts that were started after the suspension count as its trial. A task that lasts and is itself the trial counts as a success once it has run for 3 s. Both events surely come: an end, a stop of a task without progress, or the time.

Weighed: a worker that fails everything still gets one task at a time; TestFailingWorkerGetsOneTrialAtATime, which passes before and after, bounds what it draws.

--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -13,6 +13,7 @@
 	suspendAfterJobs = 2
 	minSuspension    = 3 * clock.Second
 	maxSuspension    = 30 * clock.Second
+	lastingTrial     = 3 * clock.Second
 )
 
 // A task without progress is stopped and counts as a failure of its worker. Workers report progress
@@ -82,10 +83,33 @@
 }
 
 // isSuspended reports whether a worker gets no tasks because of earlier failures. After a suspension
-// it gets one task at a time until one succeeds.
+// it gets one task at a time until one succeeds. Tasks from before the suspension are no trial: they say nothing of
+// whether the worker is sound again, and may last.
 func (w *worker) isSuspended(now clock.Millis) bool {
-	if now < w.health.suspendedUntil {
+	h := w.health
+	if now < h.suspendedUntil {
 		return true
 	}
-	return w.health.lastSuspension > 0 && len(w.tasks) > 0
+	if h.lastSuspension == 0 {
+		return false
+	}
+	for _, t := range w.tasks {
+		if t.isTrial() {
+			return true
+		}
+	}
+	return false
+}
+
+// isTrial reports whether the attempt was started on its worker after the worker's last suspension.
+func (t *task) isTrial() bool { return t.startSentAt >= t.worker.health.suspendedUntil }
+
+// checkTrial counts a long-running task, which never ends in success, as one once it has run for lastingTrial.
+func (p *Planner) checkTrial(t *task) {
+	if t.worker.health.lastSuspension == 0 || !t.step.spec.LongRunning || t.stage != stageRunning || t.startedAt == 0 {
+		return
+	}
+	if t.isTrial() && t.stopReason == "" && p.now-t.startedAt >= lastingTrial {
+		t.worker.health = health{}
+	}
 }
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -119,6 +119,7 @@
 		t.startedAt, t.progressedAt = p.now, p.now
 	}
 	t.noteSurvival(workerClock)
+	p.checkTrial(t)
 	if r.Percent != t.percent {
 		t.percent, t.progressedAt = r.Percent, p.now
 		return
