--- a/core/plan/ended.go
+++ b/core/plan/ended.go
@@ -30,8 +30,6 @@
 	// identifier that calls name, and has seen neither a fencing token nor an attempt. An attempt whose start order may
 	// have reached it has to be stopped there before its task starts elsewhere.
 	carriesOutOrders bool
-	// isCrash is set if the process has ended without having announced it, maybe because of one of its tasks.
-	isCrash bool
 }
 
 // evidenceRules holds the rule for each kind of evidence.
@@ -39,8 +37,8 @@
 // evidenceLease doesn't wait for a process with the same identifier that starts, gets an order and is cut off before it
 // can answer a hold or announce itself: the wait would be MaxLease for each worker that is lost for good.
 var evidenceRules = map[evidence]evidenceRule{
-	evidenceLaterStart:  {cause: "worker started again", carriesOutOrders: true, isCrash: true},
-	evidenceOtherWorker: {cause: "another worker listens at its address", isCrash: true},
+	evidenceLaterStart:  {cause: "worker started again", carriesOutOrders: true},
+	evidenceOtherWorker: {cause: "another worker listens at its address"},
 	evidenceLeft:        {cause: "it has left, and nothing listens at its address"},
 	evidenceLease:       {cause: "lease ended without contact"},
 }
@@ -69,7 +67,7 @@
 	attempts, starting, stops := old.selectTasks(anyTask), 0, 0
 	for _, t := range attempts {
 		end := t.crashEnd()
-		if old.Leaving || !rule.isCrash {
+		if old.Leaving {
 			end = ledger.EndLost
 		}
 		if end == ledger.EndStartCrash {
@@ -149,15 +147,3 @@
 	}
 	return false
 }
-
-// findAttempt returns an unsettled attempt of a task, or nil.
-func (p *Planner) findAttempt(key attemptKey) *task {
-	j := p.jobs[key.task.Job]
-	if j == nil {
-		return nil
-	}
-	if t := j.step(key.task).tasks[key.task.Index]; t != nil && t.attempt == key.attempt {
-		return t
-	}
-	return nil
-}
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -197,6 +197,18 @@
 	}
 }
 
+// findAttempt returns an unsettled attempt of a task, or nil.
+func (p *Planner) findAttempt(key attemptKey) *task {
+	j := p.jobs[key.task.Job]
+	if j == nil {
+		return nil
+	}
+	if t := j.step(key.task).tasks[key.task.Index]; t != nil && t.attempt == key.attempt {
+		return t
+	}
+	return nil
+}
+
 // handleOrderAnswered handles the answer to an order.
 func (p *Planner) handleOrderAnswered(e OrderAnswered) {
 	t := p.findAttempt(attemptKey{e.Task, e.Attempt})
--- a/vbridged/fleet/odd_test.go
+++ b/vbridged/fleet/malformed_test.go
@@ -30,7 +30,7 @@
 	if err := record(sound); err != nil {
 		t.Fatal(err)
 	}
-	for name, odd := range map[string]struct {
+	for name, malformed := range map[string]struct {
 		change func(*flow.Worker)
 		want   error
 	}{
@@ -42,9 +42,9 @@
 		"port out of range":         {func(w *flow.Worker) { w.Address, w.Seq = "127.0.0.1:65536", 9 }, fault.ErrInvalid},
 	} {
 		w := sound
-		odd.change(&w)
-		if err := record(w); !errors.Is(err, odd.want) {
-			t.Errorf("%s: error %v, want %v", name, err, odd.want)
+		malformed.change(&w)
+		if err := record(w); !errors.Is(err, malformed.want) {
+			t.Errorf("%s: error %v, want %v", name, err, malformed.want)
 		}
 	}
 	next := sound
