--- a/core/plan/ended.go
+++ b/core/plan/ended.go
@@ -34,8 +34,8 @@
 
 // evidenceRules holds the rule for each kind of evidence.
 //
-// evidenceLease doesn't wait for a process with the same identifier that starts, gets an order and is cut off before it
-// can answer a hold or announce itself: the wait would be MaxLease for each worker that is lost for good.
+// evidenceLease doesn't wait for a later process that may run an order or hold a lease of the earlier one: no call
+// reaches another process than the one that it is meant for, see fleet.Workers.
 var evidenceRules = map[evidence]evidenceRule{
 	evidenceLaterStart:  {cause: "worker started again", carriesOutOrders: true},
 	evidenceOtherWorker: {cause: "another worker listens at its address"},
