vbridged/inlet, core/intake: clients that don't finish their requests no longer take all memory

Cause: what one client may have is limited, what all together may have was not: bodies held while they arrive, headers of up to 1 MiB, the steps of a job while they are decoded, connections. No time-out ended a body.

Change: core/intake decides which connections stay and how much requests in progress may have sent; the one that has waited for its client longest makes room, and its request gets 503, which is true since not all of it had arrived. vbridged/inlet owns the connections, at fronts and at the control address of cores, in place of a limit that held new connections back as long as the crowd stayed. A job's steps are decoded up to their limit.

Weighed: time-outs alone don't bound what arrives within them; reserving by Content-Length lets clients hold memory without sending; not reading leaves the bytes in socket buffers, which count too.

--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -91,19 +91,21 @@
 // Limits of one job. They bound the memory that a single request can make a leader use.
 const (
 	maxSpecBytes   = 4000
-	maxSteps       = 256
 	maxTasks       = 20_000 // per occurrence
 	maxOccurrences = 10_000
 	maxRecords     = 400_000 // tasks of all occurrences
 )
 
+// MaxSteps is the largest number of steps of a job.
+const MaxSteps = 256
+
 // Check returns an error that says why the job can't be accepted, or nil.
 func (j Job) Check() error {
 	if len(j.Spec) > maxSpecBytes {
 		return fault.Wrap(fault.ErrInvalid, "job spec has %d bytes, more than the limit of %d", len(j.Spec), maxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return fault.Wrap(fault.ErrInvalid, "job has %d steps, want 1 to %d", len(j.Steps), maxSteps)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fault.Wrap(fault.ErrInvalid, "job has %d steps, want 1 to %d", len(j.Steps), MaxSteps)
 	}
 	if j.Occurrences < 0 || j.Occurrences > maxOccurrences || (j.Occurrences > 1 && j.Period <= 0) {
 		return fault.Wrap(fault.ErrInvalid, "job has invalid number of occurrences %d or period %s", j.Occurrences, j.Period)
--- a/core/outbox/budget.go
+++ b/core/outbox/budget.go
@@ -15,11 +15,22 @@
 	inboundPercent = 20
 	holdsPercent   = 35
 	ordersPercent  = 30
+	// callersPercent leaves room for connections that are being closed.
+	callersPercent = 50
 )
 
 // unlimitedDescriptors is the budget of a process without a known limit.
 const unlimitedDescriptors = 1 << 16
 
+// CallerConns returns how many connections of callers may be open at an instance that may have this many descriptors open,
+// or an ample number if that is not known.
+func CallerConns(descriptors int) int {
+	if descriptors <= 0 {
+		descriptors = unlimitedDescriptors
+	}
+	return max(1, descriptors*callersPercent/100)
+}
+
 // DivideDescriptors returns the budget of a process that may have this many descriptors open, or an
 // ample one if the number is not known.
 func DivideDescriptors(descriptors int) Budget {
