vbridged/fleet: a leader that has not applied the configuration drops no key

Cause: where the state has no teams, a request goes to the log without its key, for the sake of earlier versions. Just after its election a leader may not have applied the configuration; it then left the key out, and the entry was applied after the configuration, as a call without a key, which a public queue accepts.

Evidence: by reading; TestLeaderWithoutLeaseDropsNoKey failed before.

Change: a key is left out only under a valid lease, when the state has all that earlier leaders committed; otherwise the front asks again. Requests without a key, and domains with teams, are as before.

--- a/vbridged/fleet/keys_test.go
+++ b/vbridged/fleet/keys_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// Guards against a leader that has not applied the configuration yet and drops a caller's key: on a public queue, the job of
+// a caller with an unknown key runs.
+func TestLeaderWithoutLeaseDropsNoKey(t *testing.T) {
+	c := &manualClock{now: 1000}
+	d := newKeyDomain(c, prometheus.NewRegistry())
+	c.now = 1900
+	for _, kind := range []Kind{KindSubmit, KindCancel} {
+		if _, _, err := d.checkKey(requestAs(kind, "unknown")); !errors.Is(err, fault.ErrNotLeader) {
+			t.Errorf("%s with a key before any configuration is known: error %v, want %v", kind, err, fault.ErrNotLeader)
+		}
+	}
+	r := requestAs(KindSubmit, "unknown")
+	r.Key = flow.KeyHash{}
+	if _, _, err := d.checkKey(r); err != nil {
+		t.Errorf("request without a key: error %v, want it to go to the log", err)
+	}
+}
+
 // Guards against messages that instances of the version before keys can't read, while there are no teams.
 func TestRequestsWithoutKeyAreThoseOfEarlierVersions(t *testing.T) {
 	r := requestAs(KindSubmit, "k")
--- a/vbridged/fleet/refuse.go
+++ b/vbridged/fleet/refuse.go
@@ -63,15 +63,16 @@
 
 // checkKey reports whether requests need a key, and returns the refusal of a request whose key the queue does not
 // accept; else an empty reply. It refuses only under a valid leader lease, before and after it reads the state, so that
-// it knows each key that a newer version has added. Without one such a request does not go to the log either: the
-// front asks again.
+// it knows each key that a newer version has added. Without one such a request does not go to the log either, nor does one
+// whose key would be left out because the state has no teams: the front asks again.
 func (d *Domain) checkKey(r Request) (enforced bool, refusal Reply, err error) {
 	_, valid := d.validLeaseTerm()
 	d.mu.Lock()
 	enforced = d.state.Config().Access.Enforced
 	q, _, _, outcome := d.state.Resolve(r.Host, r.Path, r.Key)
 	d.mu.Unlock()
-	if outcome != ledger.OutcomeUnauthorized {
+	dropsKey := !enforced && r.Key != (flow.KeyHash{})
+	if outcome != ledger.OutcomeUnauthorized && !dropsKey {
 		return enforced, Reply{}, nil
 	}
 	if valid {
@@ -80,6 +81,9 @@
 	if !valid {
 		return enforced, Reply{}, fault.Wrap(fault.ErrNotLeader, "check the key of request %s: this instance holds no valid leader lease", r.ID)
 	}
+	if outcome != ledger.OutcomeUnauthorized {
+		return enforced, Reply{}, nil
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return enforced, d.refuse(r, q), nil
