core/outbox: connections that holds leave unused serve orders

Cause: only three of eight connections for orders to a worker stayed open; the others were opened, and are checked now, for each order of a burst.

Change: descriptors that are set aside for holds and not needed for them, 1,013 of 1,363 with 350 workers, keep connections for orders open, six for each worker. With 48 workers and with 1,100 nothing changes.

Ruled out: sending the order without the check and settling afterwards, which makes tasks of restarted workers wait holdMaxMs (LOST); and several orders on one connection at a time, where one that gets no answer holds up the others.

TestDescriptorsAreDivided gets the new figure, and a check that holds and kept connections together stay within their shares.

--- a/core/outbox/budget.go
+++ b/core/outbox/budget.go
@@ -55,9 +55,11 @@
 	return maxOrdersPerWorker
 }
 
-// KeptPerWorker returns how many connections for orders to one worker may stay open between orders.
+// KeptPerWorker returns how many connections for orders to one worker may stay open between orders. Each worker has one for
+// its hold; what is left of those serves orders too, since each new connection costs a start two round trips.
 func (b Budget) KeptPerWorker(workers int) int {
-	return min(b.Orders/max(workers, 1), maxOrdersPerWorker)
+	unusedHolds := max(0, b.Holds-workers)
+	return min((b.Orders+unusedHolds)/max(workers, 1), maxOrdersPerWorker)
 }
 
 // KeepsConnections reports whether the connections to this many workers can stay open between calls:
--- a/core/outbox/outbox_test.go
+++ b/core/outbox/outbox_test.go
@@ -168,12 +168,18 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("budgets (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff([]int{8, 8, 8, 3, 1, 1, 1, 0}, []int{
+	if diff := cmp.Diff([]int{8, 8, 8, 6, 1, 1, 1, 0}, []int{
 		got[3].OrdersPerWorker(48), got[3].KeptPerWorker(48), got[3].OrdersPerWorker(350), got[3].KeptPerWorker(350),
 		got[3].OrdersPerWorker(1100), got[3].KeptPerWorker(1100), got[3].OrdersPerWorker(5000), got[3].KeptPerWorker(5000),
 	}); diff != "" {
 		t.Errorf("orders for one worker at a time and connections kept, for 48, 350, 1,100 and 5,000 workers (-want +got):\n%s", diff)
 	}
+	for workers := 1; got[3].KeptPerWorker(workers) > 0; workers++ {
+		b := got[3]
+		if open := workers * (1 + b.KeptPerWorker(workers)); open > b.Holds+b.Orders && workers <= b.Holds {
+			t.Fatalf("%d workers have %d connections, want %d at most", workers, open, b.Holds+b.Orders)
+		}
+	}
 	if !got[3].KeepsConnections(1100) || got[2].KeepsConnections(1100) {
 		t.Error("connections to 1,100 workers: want them kept with 4,124 descriptors and not with 1,024")
 	}
