--- a/core/outbox/budget.go
+++ b/core/outbox/budget.go
@@ -22,23 +22,22 @@
 // unlimitedDescriptors is the budget of a process without a known limit.
 const unlimitedDescriptors = 1 << 16
 
-// CallerConns returns how many connections of callers may be open at an instance that may have this many descriptors open,
-// or an ample number if that is not known.
-func CallerConns(descriptors int) int {
-	if descriptors <= 0 {
-		descriptors = unlimitedDescriptors
-	}
-	return max(1, descriptors*callersPercent/100)
-}
-
 // DivideDescriptors returns the budget of a process that may have this many descriptors open, or an
 // ample one if the number is not known.
 func DivideDescriptors(descriptors int) Budget {
+	return Budget{Inbound: share(descriptors, inboundPercent), Holds: share(descriptors, holdsPercent), Orders: share(descriptors, ordersPercent)}
+}
+
+// CallerConns returns how many connections of callers may be open at an instance that may have this many descriptors open,
+// or an ample number if that is not known.
+func CallerConns(descriptors int) int { return share(descriptors, callersPercent) }
+
+// share returns a share of the descriptors, at least one.
+func share(descriptors, percent int) int {
 	if descriptors <= 0 {
 		descriptors = unlimitedDescriptors
 	}
-	share := func(percent int) int { return max(1, descriptors*percent/100) }
-	return Budget{Inbound: share(inboundPercent), Holds: share(holdsPercent), Orders: share(ordersPercent)}
+	return max(1, descriptors*percent/100)
 }
 
 // maxOrdersPerWorker bounds the orders for one worker at a time; a worker accepts 64 connections, and those
--- a/vbridged/inlet/inlet.go
+++ b/vbridged/inlet/inlet.go
@@ -20,7 +20,8 @@
 // connection. Nothing of it was done.
 var ErrTurnedAway error = turnedAwayError{}
 
-// turnedAwayError is a time-out, since a server answers no unfinished header after one.
+// turnedAwayError is a net.Error that is a time-out: after any other error in a header, net/http answers 400, which
+// tells a caller that the request is invalid.
 type turnedAwayError struct{}
 
 // Error implements error.
@@ -136,7 +137,7 @@
 // Accept implements net.Listener. It refuses connections for which there is no room.
 func (l *listener) Accept() (net.Conn, error) {
 	x := l.inlet
-	refuseAt := clock.Millis(0) // or 0 while there is room
+	var refuseAt clock.Millis // 0 while there is room
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
