--- a/vbridged/inlet/inlet.go
+++ b/vbridged/inlet/inlet.go
@@ -34,10 +34,10 @@
 func (turnedAwayError) Temporary() bool { return false }
 
 const (
-	// MaxHeaderBytes is the largest header of a request, four times the limit that configurations set.
-	MaxHeaderBytes = 64 << 10
-	// DefaultBodyTimeout is how long a client may pause while it sends a body.
-	DefaultBodyTimeout = 15 * time.Second
+	// maxHeaderBytes is the largest header of a request, four times the limit that configurations set.
+	maxHeaderBytes = 64 << 10
+	// bodyTimeout is how long a client may pause while it sends a body.
+	bodyTimeout = 15 * time.Second
 	// writeTimeout is how long a client that reads nothing holds up a part of a response.
 	writeTimeout = 10 * time.Second
 	// logInterval is the shortest time between two log lines about connections that were turned away.
@@ -84,7 +84,7 @@
 
 // Configure sets up a server for the connections of Listener. It keeps the server's ConnState hook.
 func (x *Inlet) Configure(s *http.Server) {
-	s.MaxHeaderBytes = MaxHeaderBytes
+	s.MaxHeaderBytes = maxHeaderBytes
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	next := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
@@ -290,9 +290,9 @@
 	conn *conn
 }
 
-// Read implements io.Reader. The client may pause for DefaultBodyTimeout at most.
+// Read implements io.Reader. The client may pause for bodyTimeout at most.
 func (b *body) Read(p []byte) (int, error) {
-	_ = b.conn.SetReadDeadline(time.Now().Add(DefaultBodyTimeout)) // fails only if the connection is closed, as the read then does
+	_ = b.conn.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only if the connection is closed, as the read then does
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		_ = b.conn.SetReadDeadline(time.Time{})
