core/plan, vbridged/fleet: log lines name the process of a worker that was meant, and the one that answered

What operators saw: lines on starts, stops, holds and ends name a worker only.

Change: LogEvent has the incarnation in place of the identifier, and what the leader knew of its lease and ends. "task ended" names the process that the start was sent to and, if it is another one, the one that answered, with the number of the end. "step placed" has the starts of the processes that it lists. "order" and "hold failed" have born, the expiry sent and what was acknowledged.

--- a/core/plan/decision.go
+++ b/core/plan/decision.go
@@ -8,7 +8,7 @@
 )
 
 // Decision is an output of Planner.Step: one of Propose, Start, Stop, TicketRequest, WatchWorker and
-// LogEvent.
+// LogEvent and LogDone.
 type Decision interface{ decision() }
 
 // Propose requests that a command is committed to the replicated log.
@@ -55,8 +55,17 @@
 	Job     model.JobID
 	Task    string
 	Attempt int
-	Worker  model.WorkerID
-	Cause   string
+	// Worker is the process that the event concerns, or zero: for an end, the one that the start was sent to.
+	Worker Incarnation
+	// Found is the start of the process whose answer the event follows from, if that is another one.
+	Found clock.Millis
+	// Known is what the leader knew of the process that answered or, if none did, of Worker; or zero if it does not matter.
+	Known ProcessState
+	// Starts holds the starts of the processes that Cause lists, in its order.
+	Starts []clock.Millis
+	// EndNumber is the number that an end has in the list of its process, or 0 if it was not listed.
+	EndNumber int64
+	Cause     string
 	// Age is the time since the logged activity began: for the end of a task, the time since its last
 	// start order was sent. For a suspension it is the length of the suspension.
 	Age clock.Millis
@@ -64,12 +73,35 @@
 	Forecast Forecast
 }
 
+// ProcessState is what the leader knows of a process of a worker, for the log.
+type ProcessState struct {
+	// LeaseEnd is the highest expiry that was sent to the process, and Clock what its clock should show; both are on that clock.
+	LeaseEnd, Clock clock.Millis
+	// ListedEnd is the highest number of an end that the process has listed, and AckedEnd the highest one that a hold has
+	// told it to forget.
+	ListedEnd, AckedEnd int64
+}
+
+// DoneTask is an attempt that has ended as done, with the process that lists it and the number that the end has there.
+type DoneTask struct {
+	Task      flow.Task
+	Attempt   int
+	Worker    Incarnation
+	EndNumber int64
+	// Age is the time since the last start order was sent.
+	Age clock.Millis
+}
+
+// LogDone is an entry for the log: the attempts that the settlement which was just proposed ends as done.
+type LogDone struct{ List []DoneTask }
+
 func (Propose) decision()       {}
 func (Start) decision()         {}
 func (Stop) decision()          {}
 func (TicketRequest) decision() {}
 func (WatchWorker) decision()   {}
 func (LogEvent) decision()      {}
+func (LogDone) decision()       {}
 
 // Hold is a long poll to a worker: it renews the lease of the worker's tasks, acknowledges ends, and
 // is answered with a report of the running and ended attempts.
--- a/core/plan/ended.go
+++ b/core/plan/ended.go
@@ -85,7 +85,7 @@
 		}
 	}
 	p.logEvent(LogEvent{
-		Event: "worker crashed", Worker: old.ID, Age: p.sinceFailing(old),
+		Event: "worker crashed", Worker: old.incarnation(), Found: next.StartedAt, Known: old.knownState(p.now), Age: p.sinceFailing(old),
 		Cause: fmt.Sprintf("%s; %d attempts, %d of them just started, %d may start in the next process", rule.cause, len(attempts), starting, stops),
 	})
 	p.proposeCollected()
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"vanillabridge/core/clock"
 	"vanillabridge/core/ledger"
 	"vanillabridge/core/model"
 )
@@ -314,12 +315,14 @@
 		return
 	}
 	var list []byte
+	starts := make([]clock.Millis, 0, len(st.placed))
 	for _, t := range st.placed {
 		list = fmt.Appendf(list, "%d@%s ", t.name.Index, t.worker.ID)
+		starts = append(starts, t.worker.StartedAt)
 	}
 	p.logEvent(LogEvent{
 		Event: "step placed", Job: st.name.Job, Task: st.name.StepName(), Attempt: st.placed[0].attempt,
-		Cause: string(list), Age: p.now - st.readyAt,
+		Cause: string(list), Starts: starts, Age: p.now - st.readyAt,
 	})
 	st.placed = nil
 }
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -39,6 +39,7 @@
 	placements      []ledger.Placement
 	attemptEnds     []ledger.AttemptEnd
 	runTimes        []ledger.RunTime // of attemptEnds
+	done            []DoneTask       // those of attemptEnds that ended as done
 	workersWithEnds []*worker        // have reported new ends since the last settlement was proposed
 	// pendingAcks holds, by number of the settlement, the ends that its workers may discard once it is
 	// committed. lastSettlement is the highest number in use.
@@ -159,6 +160,10 @@
 		p.propose(ledger.Settle{Ends: p.attemptEnds, Now: p.now + p.cfg.UnixOffset, Term: p.cfg.Term, Number: p.lastSettlement, RunTimes: p.runTimes})
 		p.attemptEnds, p.runTimes, p.lastFlushAt = nil, nil, p.now
 	}
+	if len(p.done) > 0 {
+		p.decisions = append(p.decisions, LogDone{List: p.done})
+		p.done = nil
+	}
 	p.queueAcks(hasEnds)
 }
 
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -49,7 +49,9 @@
 	mayStillStart bool
 	startsSent    int          // number of start orders sent
 	startSentAt   clock.Millis // when the last start order was sent; before that, when the attempt was placed
+	sentTo        Incarnation  // the process that the last start order was sent to, or zero
 	startedAt     clock.Millis
+	endNumber     int64 // number of the end at its worker, if that has listed it
 	// firstSeenClock is the worker's clock when it confirmed the start or first reported the attempt, or 0.
 	firstSeenClock clock.Millis
 	// survivedFor is how long after that the worker still ran the attempt, and probation how long it has to
@@ -111,12 +113,17 @@
 	t.stage = stageEnding
 	p.attemptEnds = append(p.attemptEnds, ledger.AttemptEnd{Task: t.name, Attempt: t.attempt, End: end, Checkpoint: checkpoint})
 	if end == ledger.EndDone {
-		return // logged with the end of the step
+		p.done = append(p.done, DoneTask{Task: t.name, Attempt: t.attempt, Worker: t.worker.incarnation(), EndNumber: t.endNumber, Age: p.now - t.startSentAt})
+		return // logged with the settlement
 	}
-	p.logEvent(LogEvent{
-		Event: "task ended", Job: t.name.Job, Task: t.name.String(), Attempt: t.attempt,
-		Worker: t.worker.ID, Cause: end.String() + ": " + cause, Age: p.now - t.startSentAt,
-	})
+	event := LogEvent{
+		Event: "task ended", Job: t.name.Job, Task: t.name.String(), Attempt: t.attempt, EndNumber: t.endNumber,
+		Worker: t.worker.incarnation(), Known: t.worker.knownState(p.now), Cause: end.String() + ": " + cause, Age: p.now - t.startSentAt,
+	}
+	if t.sentTo != (Incarnation{}) && t.sentTo != event.Worker {
+		event.Worker, event.Found = t.sentTo, t.worker.StartedAt
+	}
+	p.logEvent(event)
 }
 
 // stopTask orders an attempt to stop. Its capacity stays charged until the worker reports the end.
@@ -127,7 +134,7 @@
 	t.stopReason = reason
 	p.logEvent(LogEvent{
 		Event: "task stopped", Job: t.name.Job, Task: t.name.String(), Attempt: t.attempt,
-		Worker: t.worker.ID, Cause: reason, Age: p.now - t.startSentAt,
+		Worker: t.worker.incarnation(), Known: t.worker.knownState(p.now), Cause: reason, Age: p.now - t.startSentAt,
 	})
 	if t.stage == stageAssigning {
 		return // handleAssigned ends the attempt instead of starting it
@@ -149,7 +156,7 @@
 	t.startsSent++
 	t.openStarts++
 	t.partial = t.step.checkpoint(t.name.Index) != ""
-	t.startSentAt = p.now
+	t.startSentAt, t.sentTo = p.now, w.incarnation()
 	p.decisions = append(p.decisions, Start{
 		Worker: w.Worker, Task: t.name, Attempt: t.attempt, Spec: t.step.job.Definition.Spec,
 		Expires: expires, Checkpoint: t.step.checkpoint(t.name.Index), Ticket: t.ticket,
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -49,6 +49,7 @@
 	// lastReportedEnd is the highest number of an end that was reported, and lastCommittedEnd the
 	// highest one that is committed, which the worker may discard.
 	lastReportedEnd, lastCommittedEnd int64
+	ackedEnd                          int64 // the highest one that a hold has told the worker to discard
 	refusedConns                      int
 	// unresponsive is set while the last hold got no answer.
 	unresponsive bool
@@ -75,6 +76,15 @@
 
 func (w *worker) incarnation() Incarnation { return Incarnation{ID: w.ID, StartedAt: w.StartedAt} }
 
+// knownState describes the process of the worker for the log.
+func (w *worker) knownState(now clock.Millis) ProcessState {
+	s := ProcessState{LeaseEnd: w.leaseEnd, ListedEnd: w.lastReportedEnd, AckedEnd: w.ackedEnd}
+	if w.hasReported {
+		s.Clock = w.estimateClock(now)
+	}
+	return s
+}
+
 // freeCapacity returns the capacity that is neither used nor reserved.
 func (w *worker) freeCapacity() model.Size { return w.Capacity.Minus(w.used).Minus(w.reserved) }
 
@@ -115,11 +125,11 @@
 		wasLeaving, capacity := old.Leaving, old.Capacity
 		old.Worker = announced
 		if announced.Capacity != capacity {
-			p.logEvent(LogEvent{Event: "worker resized", Worker: announced.ID, Cause: capacity.String() + " to " + announced.Capacity.String()})
+			p.logEvent(LogEvent{Event: "worker resized", Worker: old.incarnation(), Cause: capacity.String() + " to " + announced.Capacity.String()})
 			p.noteCapacityGain(old)
 		}
 		if announced.Leaving && !wasLeaving {
-			p.logEvent(LogEvent{Event: "worker leaves", Worker: announced.ID})
+			p.logEvent(LogEvent{Event: "worker leaves", Worker: old.incarnation()})
 		}
 		if announced.HasLeft() && old.leftAt == 0 {
 			old.leftAt = now
@@ -140,7 +150,7 @@
 		p.moveToNextProcess(old, w)
 	}
 	p.decisions = append(p.decisions, WatchWorker{Worker: w.incarnation()})
-	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: announced.ID, Cause: announced.Capacity.String()})
+	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: w.incarnation(), Cause: announced.Capacity.String()})
 }
 
 // replaceAtAddress records that a worker has answered at its address, so that the one that was there before has ended.
@@ -170,7 +180,7 @@
 	for _, t := range w.selectTasks(anyTask) {
 		p.endTask(t, ledger.EndLost, "", cause)
 	}
-	p.logEvent(LogEvent{Event: "worker lost", Worker: w.ID, Cause: cause})
+	p.logEvent(LogEvent{Event: "worker lost", Worker: w.incarnation(), Known: w.knownState(p.now), Cause: cause})
 }
 
 func (p *Planner) removeWorker(id model.WorkerID, startedAt clock.Millis) {
@@ -253,6 +263,7 @@
 		return Hold{}, resume - now, true
 	}
 	h = Hold{Worker: w.Worker, AckedThrough: w.lastCommittedEnd}
+	w.ackedEnd = h.AckedThrough
 	if !w.hasReported || w.unresponsive {
 		// No lease is granted to a worker that doesn't answer: it may receive the call all the same, and
 		// if every call renewed the lease, its tasks could never be declared lost.
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -287,7 +287,7 @@
 			if sim.onLog != nil {
 				sim.onLog(d)
 			}
-			sim.logLines = append(sim.logLines, fmt.Sprintf("%d %s %s %s #%d on %s: %s", sim.now, d.Event, d.Job, d.Task, d.Attempt, d.Worker, d.Cause))
+			sim.logLines = append(sim.logLines, fmt.Sprintf("%d %s %s %s #%d on %s: %s", sim.now, d.Event, d.Job, d.Task, d.Attempt, d.Worker.ID, d.Cause))
 		}
 	}
 }
--- a/vbridged/fleet/export_test.go
+++ b/vbridged/fleet/export_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"vanillabridge/core/ledger"
 	"vanillabridge/core/model"
 	"vanillabridge/core/plan"
 )
@@ -21,3 +22,21 @@
 	defer d.mu.Unlock()
 	return d.state.Workers()[id].HasLeft()
 }
+
+// LogDecisions logs decisions of a planner in a term.
+func LogDecisions(m *Metrics, term uint64, list ...plan.Decision) {
+	d := &Domain{metrics: m, state: ledger.New()}
+	for _, decision := range list {
+		switch x := decision.(type) {
+		case plan.LogEvent:
+			d.logDecision(&session{term: term}, x)
+		case plan.LogDone:
+			d.logDone(&session{term: term}, x)
+		}
+	}
+}
+
+// LogOrder logs the outcome of an order in a term.
+func LogOrder(m *Metrics, term uint64, order plan.Decision, v plan.Verdict) {
+	(&Domain{metrics: m}).orderAnswer(&session{term: term}, order, v, 0, 0)
+}
--- a/vbridged/fleet/orders.go
+++ b/vbridged/fleet/orders.go
@@ -106,11 +106,12 @@
 // orderAnswer logs and counts the outcome of an order, and returns it as an event for the planner.
 func (d *Domain) orderAnswer(s *session, order plan.Decision, v plan.Verdict, workerClock clock.Millis, took time.Duration) plan.OrderAnswered {
 	var w flow.Worker
+	var expires clock.Millis
 	answer := plan.OrderAnswered{Verdict: v, Clock: workerClock}
 	kind := "start"
 	switch x := order.(type) {
 	case plan.Start:
-		w, answer.Task, answer.Attempt = x.Worker, x.Task, x.Attempt
+		w, answer.Task, answer.Attempt, expires = x.Worker, x.Task, x.Attempt, x.Expires
 	case plan.Stop:
 		kind = "stop"
 		w, answer.Task, answer.Attempt, answer.Stop = x.Worker, x.Task, x.Attempt, true
@@ -118,8 +119,8 @@
 	answer.Worker = plan.Incarnation{ID: w.ID, StartedAt: w.StartedAt}
 	d.metrics.observeOrder(kind, v, took)
 	if v != plan.VerdictDone { // the decision to place the task is logged already
-		klog.InfoS("order", "kind", kind, "task", answer.Task.String(), "attempt", answer.Attempt, "worker", w.ID, "verdict", v.String(),
-			"took", took.Milliseconds(), "term", s.term)
+		klog.InfoS("order", "kind", kind, "task", answer.Task.String(), "attempt", answer.Attempt, "worker", w.ID, "born", int64(w.StartedAt), "verdict", v.String(),
+			"expires", int64(expires), "clock", int64(workerClock), "took", took.Milliseconds(), "term", s.term)
 	}
 	return answer
 }
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -31,6 +33,8 @@
 			go d.sendHolds(s, x.Worker)
 		case plan.LogEvent:
 			d.logDecision(s, x)
+		case plan.LogDone:
+			d.logDone(s, x)
 		}
 	}
 	d.sendOrders(s)
@@ -142,7 +146,8 @@
 		return
 	}
 	if err != nil {
-		klog.InfoS("hold failed", "worker", incarnation.ID, "term", s.term, "error", err.Error())
+		klog.InfoS("hold failed", "worker", incarnation.ID, "born", int64(incarnation.StartedAt), "term", s.term, "expires", int64(h.Expires),
+			"ackedEnd", h.AckedThrough, "took", int64(d.now()-sent), "error", err.Error())
 		d.stepSession(s, plan.HoldFailed{Worker: incarnation, Cause: failure})
 		return
 	}
@@ -182,13 +187,29 @@
 }
 
 // logDecision logs and counts a decision of the planner. The key "age" is the age in milliseconds of the
-// input that the decision was based on.
+// input that the decision was based on, "born" the start of the process of a worker that the decision concerns, and "found"
+// that of the one whose answer it follows from, if that is another one.
 func (d *Domain) logDecision(s *session, event plan.LogEvent) {
 	d.metrics.countDecision(event.Event)
 	fields := []any{
-		"job", event.Job, "task", event.Task, "attempt", event.Attempt, "worker", event.Worker,
+		"job", event.Job, "task", event.Task, "attempt", event.Attempt, "worker", event.Worker.ID,
 		"cause", event.Cause, "age", int64(event.Age), "term", s.term, "version", d.state.Config().Version,
 	}
+	if event.Worker.ID != "" {
+		fields = append(fields, "born", int64(event.Worker.StartedAt))
+	}
+	if event.Found != 0 {
+		fields = append(fields, "found", int64(event.Found))
+	}
+	if len(event.Starts) > 0 {
+		fields = append(fields, "starts", event.Starts)
+	}
+	if event.EndNumber != 0 {
+		fields = append(fields, "end", event.EndNumber)
+	}
+	if k := event.Known; k != (plan.ProcessState{}) {
+		fields = append(fields, "clock", int64(k.Clock), "leaseEnd", int64(k.LeaseEnd), "listedEnd", k.ListedEnd, "ackedEnd", k.AckedEnd)
+	}
 	if f := event.Forecast; f != (plan.Forecast{}) {
 		d.metrics.observeRunTime(f)
 		fields = append(fields, "queue", f.Queue, "declared", int64(f.Declared), "expected", int64(f.Expected), "runs", f.Runs, "teams", f.Teams)
@@ -199,6 +220,29 @@
 	klog.InfoS(event.Event, fields...)
 }
 
+// maxDonePerLine bounds the tasks in a line, which is left out if it is longer than the log accepts.
+const maxDonePerLine = 100
+
+// logDone logs the tasks that ended as done in one settlement.
+func (d *Domain) logDone(s *session, done plan.LogDone) {
+	for list := range slices.Chunk(done.List, maxDonePerLine) {
+		d.metrics.countDecision("tasks done")
+		klog.InfoS("tasks done", "term", s.term, "ends", formatDone(list))
+	}
+}
+
+// formatDone returns the entries TASK#ATTEMPT@WORKER/BORN:END+AGE of a list.
+func formatDone(list []plan.DoneTask) string {
+	var text []byte
+	for i, t := range list {
+		if i > 0 {
+			text = append(text, ' ')
+		}
+		text = fmt.Appendf(text, "%s#%d@%s/%d:%d+%d", t.Task, t.Attempt, t.Worker.ID, int64(t.Worker.StartedAt), t.EndNumber, int64(t.Age))
+	}
+	return string(text)
+}
+
 // reportPlanStats logs the planner's statistics and sets the metrics, if this instance leads. With
 // steps waiting, a high used share of the workers' CPU capacity means that the domain is full, and a
 // low one that the leader cannot keep up.
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -297,7 +297,7 @@
 		return nil
 	}
 	_, err := d.proposeCommand(ctx, ledger.RegisterWorker{Worker: w.WithLeft()})
-	klog.InfoS("worker leaves", "worker", id, "error", errorText(err))
+	klog.InfoS("worker leaves", "worker", id, "born", int64(w.StartedAt), "error", errorText(err))
 	if err == nil {
 		sleep(ctx, plan.LeaveSettleTime)
 	}
