core/flow: Incarnation moves here from core/plan

All packages that name one process of a worker can use it: the plan, the replicated state, the fleet and the relays. Worker.Incarnation() returns that of a description.

--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -27,6 +27,16 @@
 	Seq uint64
 }
 
+// Incarnation identifies one incarnation of a worker: the time from a start of its process to the next. The identifier alone
+// names the worker, whose incarnations share nothing: neither clock nor tasks nor numbers of ends.
+type Incarnation struct {
+	ID        model.WorkerID
+	StartedAt clock.Millis // since 1970
+}
+
+// Incarnation returns the incarnation that the description is of.
+func (w Worker) Incarnation() Incarnation { return Incarnation{ID: w.ID, StartedAt: w.StartedAt} }
+
 // seqLeft is the number of the last announcement of a worker, with which it leaves.
 const seqLeft = math.MaxUint64
 
--- a/core/plan/carry_test.go
+++ b/core/plan/carry_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"vanillabridge/core/flow"
+
 	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
 	"vanillabridge/core/plan"
@@ -180,7 +182,7 @@
 func (cs *carriers) start(term uint64, d plan.Start) {
 	sim := cs.sim
 	answer := func(v plan.Verdict, at clock.Millis) {
-		sim.step(term, plan.OrderAnswered{Worker: plan.Incarnation{ID: d.Worker.ID, StartedAt: d.Worker.StartedAt}, Task: d.Task, Attempt: d.Attempt, Verdict: v, Clock: at})
+		sim.step(term, plan.OrderAnswered{Worker: flow.Incarnation{ID: d.Worker.ID, StartedAt: d.Worker.StartedAt}, Task: d.Task, Attempt: d.Attempt, Verdict: v, Clock: at})
 	}
 	notSent, unanswered := func() { answer(plan.VerdictNotSent, 0) }, func() { answer(plan.VerdictUnknown, 0) }
 	cs.carry(term, d.Worker.ID, orderTimeout, func(_ *carrier, reply func(func())) {
@@ -212,7 +214,7 @@
 	}, nothing, nothing)
 }
 
-func (cs *carriers) hold(term uint64, incarnation plan.Incarnation, h plan.Hold) {
+func (cs *carriers) hold(term uint64, incarnation flow.Incarnation, h plan.Hold) {
 	sim, sentAt := cs.sim, cs.sim.now
 	fail := func() {
 		sim.step(term, plan.HoldFailed{Worker: incarnation, Cause: plan.FailureNoAnswer})
--- a/core/plan/crash.go
+++ b/core/plan/crash.go
@@ -41,7 +41,7 @@
 		p.endTask(t, end, "", p.describeCrash(t, cause))
 	}
 	p.logEvent(LogEvent{
-		Event: "worker crashed", Worker: w.incarnation(), Known: w.knownState(p.now), Age: p.sinceFailing(w),
+		Event: "worker crashed", Worker: w.Incarnation(), Known: w.knownState(p.now), Age: p.sinceFailing(w),
 		Cause: fmt.Sprintf("%s; %d attempts, %d of them just started", cause, len(attempts), starting),
 	})
 	// A leader that knows the worker only as removed could not tell that it has crashed under its tasks.
--- a/core/plan/decision.go
+++ b/core/plan/decision.go
@@ -47,7 +47,7 @@
 }
 
 // WatchWorker requests that holds are sent to a worker as NextHold determines, until its incarnation is gone.
-type WatchWorker struct{ Worker Incarnation }
+type WatchWorker struct{ Worker flow.Incarnation }
 
 // LogEvent is an entry for the log.
 type LogEvent struct {
@@ -56,7 +56,7 @@
 	Task    string
 	Attempt int
 	// Worker is the process that the event concerns, or zero: for an end, the one that the start was sent to.
-	Worker Incarnation
+	Worker flow.Incarnation
 	// Found is the start of the process whose answer the event follows from, if that is another one.
 	Found clock.Millis
 	// Known is what the leader knew of the process that answered or, if none did, of Worker; or zero if it does not matter.
@@ -86,7 +86,7 @@
 type DoneTask struct {
 	Task      flow.Task
 	Attempt   int
-	Worker    Incarnation
+	Worker    flow.Incarnation
 	EndNumber int64
 	// Age is the time since the last start order was sent.
 	Age clock.Millis
--- a/core/plan/ended.go
+++ b/core/plan/ended.go
@@ -85,7 +85,7 @@
 		}
 	}
 	p.logEvent(LogEvent{
-		Event: "worker crashed", Worker: old.incarnation(), Found: next.StartedAt, Known: old.knownState(p.now), Age: p.sinceFailing(old),
+		Event: "worker crashed", Worker: old.Incarnation(), Found: next.StartedAt, Known: old.knownState(p.now), Age: p.sinceFailing(old),
 		Cause: fmt.Sprintf("%s; %d attempts, %d of them just started, %d may start in the next process", rule.cause, len(attempts), starting, stops),
 	})
 	p.proposeCollected()
@@ -133,7 +133,7 @@
 // handleStopAnswered handles the answer to a stop order. It matters only for an attempt that was moved: a process that has
 // answered the stop starts it no more. The outcome of any other stop is taken from reports.
 func (p *Planner) handleStopAnswered(t *task, e OrderAnswered) {
-	if t.absenceProvenAfter == neverProven && e.Worker == t.worker.incarnation() && (e.Verdict == VerdictDone || e.Verdict == VerdictAttemptEnded) {
+	if t.absenceProvenAfter == neverProven && e.Worker == t.worker.Incarnation() && (e.Verdict == VerdictDone || e.Verdict == VerdictAttemptEnded) {
 		t.absenceProvenAfter = e.Clock
 	}
 }
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -14,15 +14,9 @@
 // Applied reports that a command was committed and applied to the replicated state.
 type Applied struct{ Command ledger.Command }
 
-// Incarnation identifies one incarnation of a worker: the time from a start of its process to the next.
-type Incarnation struct {
-	ID        model.WorkerID
-	StartedAt clock.Millis
-}
-
 // HoldAnswered reports a worker's answer to a hold.
 type HoldAnswered struct {
-	Worker Incarnation
+	Worker flow.Incarnation
 	// SentAt and ReceivedAt are the times at which the hold was sent and its answer arrived, on the
 	// leader's clock.
 	SentAt, ReceivedAt clock.Millis
@@ -72,7 +66,7 @@
 
 // HoldFailed reports that a hold failed.
 type HoldFailed struct {
-	Worker Incarnation
+	Worker flow.Incarnation
 	Cause  Failure
 }
 
@@ -106,7 +100,7 @@
 
 // OrderAnswered reports the outcome of a Start or a Stop.
 type OrderAnswered struct {
-	Worker  Incarnation
+	Worker  flow.Incarnation
 	Task    flow.Task
 	Attempt int
 	Stop    bool
--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -79,7 +79,7 @@
 	h.lastSuspension = min(max(2*h.lastSuspension, minSuspension), maxSuspension)
 	h.suspendedUntil = p.now + h.lastSuspension
 	h.failedJobs = nil
-	p.logEvent(LogEvent{Event: "worker suspended", Worker: t.worker.incarnation(), Task: t.name.String(), Job: t.name.Job, Cause: cause, Age: h.lastSuspension})
+	p.logEvent(LogEvent{Event: "worker suspended", Worker: t.worker.Incarnation(), Task: t.name.String(), Job: t.name.Job, Cause: cause, Age: h.lastSuspension})
 }
 
 // isSuspended reports whether a worker gets no tasks because of earlier failures. After a suspension
--- a/core/plan/isolate.go
+++ b/core/plan/isolate.go
@@ -64,7 +64,7 @@
 	w.isolation = &isolation{step: st, since: p.now}
 	w.wasSchedulable = false
 	p.isolated = append(p.isolated, w)
-	p.logEvent(LogEvent{Event: "worker isolated", Job: st.name.Job, Task: st.name.StepName(), Worker: w.incarnation(), Cause: "for tasks that may have crashed a worker"})
+	p.logEvent(LogEvent{Event: "worker isolated", Job: st.name.Job, Task: st.name.StepName(), Worker: w.Incarnation(), Cause: "for tasks that may have crashed a worker"})
 }
 
 // releaseIsolated ends the isolation of workers whose suspects have survived their start, have ended, or can't be
--- a/core/plan/logged_test.go
+++ b/core/plan/logged_test.go
@@ -18,7 +18,7 @@
 	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 60 * clock.Second, false }
 	type named struct {
 		Event  string
-		Worker plan.Incarnation
+		Worker flow.Incarnation
 		Found  clock.Millis
 		Starts []clock.Millis
 	}
@@ -29,13 +29,13 @@
 		}
 	}
 	sim.startLeader()
-	earlier := sim.addWorker("w", workerSize).incarnation()
+	earlier := sim.addWorker("w", workerSize).Incarnation()
 	sim.run(2 * lease)
 	sim.submit("/a/", "1", flow.Step{Count: 1, Need: smallTask, Estimate: 1000})
 	sim.run(clock.Second)
 	sim.restart(sim.workers["w"], 100)
 	sim.run(clock.Second)
-	later := sim.workers["w"].incarnation()
+	later := sim.workers["w"].Incarnation()
 	want := []named{
 		{Event: "worker joins", Worker: earlier},
 		{Event: "worker answers", Worker: earlier},
@@ -51,7 +51,3 @@
 		t.Errorf("events that name a process (-want +got):\n%s", diff)
 	}
 }
-
-func (f *fakeWorker) incarnation() plan.Incarnation {
-	return plan.Incarnation{ID: f.ID, StartedAt: f.StartedAt}
-}
--- a/core/plan/outcome_test.go
+++ b/core/plan/outcome_test.go
@@ -86,7 +86,7 @@
 	for range 2 {
 		sim.now++
 		events = append(events, sim.planner.Step(sim.now, plan.HoldAnswered{
-			Worker: plan.Incarnation{ID: f.ID, StartedAt: f.StartedAt}, SentAt: sim.now, ReceivedAt: sim.now, Clock: sim.clockOf(f),
+			Worker: flow.Incarnation{ID: f.ID, StartedAt: f.StartedAt}, SentAt: sim.now, ReceivedAt: sim.now, Clock: sim.clockOf(f),
 			Running: []plan.RunningAttempt{{Task: flow.Task{Job: "j"}}},
 		})...)
 	}
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -217,7 +217,7 @@
 	sim.run(500)
 	sim.submit("/a/", "j", flow.Step{Count: 1, Need: smallTask, Estimate: 500})
 	sim.run(300)
-	incarnation := plan.Incarnation{ID: f.ID, StartedAt: f.StartedAt}
+	incarnation := flow.Incarnation{ID: f.ID, StartedAt: f.StartedAt}
 	task := flow.Task{Job: "j"}
 	sim.planner.Step(sim.now, plan.HoldAnswered{
 		Worker: incarnation, SentAt: sim.now, ReceivedAt: sim.now, Clock: sim.clockOf(f),
@@ -391,7 +391,7 @@
 	sim.run(30 * clock.Second)
 	sim.requireCompleted()
 	_, out := plan.New(sim.now, plan.Config{Term: 9, Lease: lease, MaxLease: maxLease}, sim.state)
-	want := []plan.Decision{plan.WatchWorker{Worker: plan.Incarnation{ID: "w0", StartedAt: sim.workers["w0"].StartedAt}}}
+	want := []plan.Decision{plan.WatchWorker{Worker: flow.Incarnation{ID: "w0", StartedAt: sim.workers["w0"].StartedAt}}}
 	if diff := cmp.Diff(want, out); diff != "" {
 		t.Fatalf("decisions of a new planner (-want +got):\n%s", diff)
 	}
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -23,7 +23,7 @@
 		w.hasReported = true
 		p.passNeeded = true
 		p.replaceAtAddress(w)
-		p.logEvent(LogEvent{Event: "worker answers", Worker: w.incarnation(), Age: e.ReceivedAt - e.SentAt})
+		p.logEvent(LogEvent{Event: "worker answers", Worker: w.Incarnation(), Age: e.ReceivedAt - e.SentAt})
 	}
 	w.reportedClock, w.reportedAt = e.Clock, e.ReceivedAt
 	w.answeredHoldSentAt = max(w.answeredHoldSentAt, e.SentAt)
@@ -109,7 +109,7 @@
 			w.strayStopSentAt[key] = p.now
 			p.logEvent(LogEvent{
 				Event: "unknown attempt stopped", Job: r.Task.Job, Task: r.Task.String(), Attempt: r.Attempt,
-				Worker: w.incarnation(), Known: w.knownState(p.now), Cause: "listed by its worker",
+				Worker: w.Incarnation(), Known: w.knownState(p.now), Cause: "listed by its worker",
 			})
 			p.decisions = append(p.decisions, Stop{Worker: w.Worker, Task: r.Task, Attempt: r.Attempt, Reason: "attempt is over"})
 		}
--- a/core/plan/restart_test.go
+++ b/core/plan/restart_test.go
@@ -7,7 +7,6 @@
 	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
-	"vanillabridge/core/plan"
 )
 
 // Guards against a task that runs twice because its start order reaches the next process of its worker, which has the
@@ -118,7 +117,7 @@
 	if n := sim.countRestarts(); n > 0 {
 		sim.failf("%d tasks were started again", n)
 	}
-	if _, _, ok := sim.planner.NextHold(sim.now, plan.Incarnation{ID: other.ID, StartedAt: other.StartedAt}); ok {
+	if _, _, ok := sim.planner.NextHold(sim.now, flow.Incarnation{ID: other.ID, StartedAt: other.StartedAt}); ok {
 		sim.failf("the worker that does not exist is still called")
 	}
 }
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -47,9 +47,9 @@
 	lapsesAt clock.Millis
 	// mayStillStart is set while a start order that got no answer may still be carried out.
 	mayStillStart bool
-	startsSent    int          // number of start orders sent
-	startSentAt   clock.Millis // when the last start order was sent; before that, when the attempt was placed
-	sentTo        Incarnation  // the process that the last start order was sent to, or zero
+	startsSent    int              // number of start orders sent
+	startSentAt   clock.Millis     // when the last start order was sent; before that, when the attempt was placed
+	sentTo        flow.Incarnation // the process that the last start order was sent to, or zero
 	startedAt     clock.Millis
 	endNumber     int64 // number of the end at its worker, if that has listed it
 	// firstSeenClock is the worker's clock when it confirmed the start or first reported the attempt, or 0.
@@ -113,14 +113,14 @@
 	t.stage = stageEnding
 	p.attemptEnds = append(p.attemptEnds, ledger.AttemptEnd{Task: t.name, Attempt: t.attempt, End: end, Checkpoint: checkpoint})
 	if end == ledger.EndDone {
-		p.done = append(p.done, DoneTask{Task: t.name, Attempt: t.attempt, Worker: t.worker.incarnation(), EndNumber: t.endNumber, Age: p.now - t.startSentAt})
+		p.done = append(p.done, DoneTask{Task: t.name, Attempt: t.attempt, Worker: t.worker.Incarnation(), EndNumber: t.endNumber, Age: p.now - t.startSentAt})
 		return // logged with the settlement
 	}
 	event := LogEvent{
 		Event: "task ended", Job: t.name.Job, Task: t.name.String(), Attempt: t.attempt, EndNumber: t.endNumber,
-		Worker: t.worker.incarnation(), Known: t.worker.knownState(p.now), Cause: end.String() + ": " + cause, Age: p.now - t.startSentAt,
+		Worker: t.worker.Incarnation(), Known: t.worker.knownState(p.now), Cause: end.String() + ": " + cause, Age: p.now - t.startSentAt,
 	}
-	if t.sentTo != (Incarnation{}) && t.sentTo != event.Worker {
+	if t.sentTo != (flow.Incarnation{}) && t.sentTo != event.Worker {
 		event.Worker, event.Found = t.sentTo, t.worker.StartedAt
 	}
 	p.logEvent(event)
@@ -134,7 +134,7 @@
 	t.stopReason = reason
 	p.logEvent(LogEvent{
 		Event: "task stopped", Job: t.name.Job, Task: t.name.String(), Attempt: t.attempt,
-		Worker: t.worker.incarnation(), Known: t.worker.knownState(p.now), Cause: reason, Age: p.now - t.startSentAt,
+		Worker: t.worker.Incarnation(), Known: t.worker.knownState(p.now), Cause: reason, Age: p.now - t.startSentAt,
 	})
 	if t.stage == stageAssigning {
 		return // handleAssigned ends the attempt instead of starting it
@@ -156,7 +156,7 @@
 	t.startsSent++
 	t.openStarts++
 	t.partial = t.step.checkpoint(t.name.Index) != ""
-	t.startSentAt, t.sentTo = p.now, w.incarnation()
+	t.startSentAt, t.sentTo = p.now, w.Incarnation()
 	p.decisions = append(p.decisions, Start{
 		Worker: w.Worker, Task: t.name, Attempt: t.attempt, Spec: t.step.job.Definition.Spec,
 		Expires: expires, Checkpoint: t.step.checkpoint(t.name.Index), Ticket: t.ticket,
@@ -230,7 +230,7 @@
 	if e.Verdict == VerdictUnknown {
 		t.startCallEndedAt = max(t.startCallEndedAt, t.startSentAt+maxStartCallTime) // a relay may still make the call
 	}
-	if t.stage != stageStarting || t.worker.lost || t.worker.incarnation() != e.Worker {
+	if t.stage != stageStarting || t.worker.lost || t.worker.Incarnation() != e.Worker {
 		return
 	}
 	switch e.Verdict {
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -74,8 +74,6 @@
 	leftAt clock.Millis
 }
 
-func (w *worker) incarnation() Incarnation { return Incarnation{ID: w.ID, StartedAt: w.StartedAt} }
-
 // knownState describes the process of the worker for the log.
 func (w *worker) knownState(now clock.Millis) ProcessState {
 	s := ProcessState{LeaseEnd: w.leaseEnd, ListedEnd: w.lastReportedEnd, AckedEnd: w.ackedEnd}
@@ -125,11 +123,11 @@
 		wasLeaving, capacity := old.Leaving, old.Capacity
 		old.Worker = announced
 		if announced.Capacity != capacity {
-			p.logEvent(LogEvent{Event: "worker resized", Worker: old.incarnation(), Cause: capacity.String() + " to " + announced.Capacity.String()})
+			p.logEvent(LogEvent{Event: "worker resized", Worker: old.Incarnation(), Cause: capacity.String() + " to " + announced.Capacity.String()})
 			p.noteCapacityGain(old)
 		}
 		if announced.Leaving && !wasLeaving {
-			p.logEvent(LogEvent{Event: "worker leaves", Worker: old.incarnation()})
+			p.logEvent(LogEvent{Event: "worker leaves", Worker: old.Incarnation()})
 		}
 		if announced.HasLeft() && old.leftAt == 0 {
 			old.leftAt = now
@@ -149,8 +147,8 @@
 	if old != nil {
 		p.moveToNextProcess(old, w)
 	}
-	p.decisions = append(p.decisions, WatchWorker{Worker: w.incarnation()})
-	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: w.incarnation(), Cause: announced.Capacity.String()})
+	p.decisions = append(p.decisions, WatchWorker{Worker: w.Incarnation()})
+	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: w.Incarnation(), Cause: announced.Capacity.String()})
 }
 
 // replaceAtAddress records that a worker has answered at its address, so that the one that was there before has ended.
@@ -180,7 +178,7 @@
 	for _, t := range w.selectTasks(anyTask) {
 		p.endTask(t, ledger.EndLost, "", cause)
 	}
-	p.logEvent(LogEvent{Event: "worker lost", Worker: w.incarnation(), Known: w.knownState(p.now), Cause: cause})
+	p.logEvent(LogEvent{Event: "worker lost", Worker: w.Incarnation(), Known: w.knownState(p.now), Cause: cause})
 }
 
 func (p *Planner) removeWorker(id model.WorkerID, startedAt clock.Millis) {
@@ -196,7 +194,7 @@
 	p.workersByID, p.workersByCapacityGain = nil, nil
 }
 
-func (p *Planner) findWorker(incarnation Incarnation) *worker {
+func (p *Planner) findWorker(incarnation flow.Incarnation) *worker {
 	w := p.workers[incarnation.ID]
 	if w == nil || w.StartedAt != incarnation.StartedAt || w.lost {
 		return nil
@@ -251,7 +249,7 @@
 
 // NextHold returns the hold to send to a worker now, or the time to wait before the next call of
 // NextHold. It reports false once this incarnation of the worker is gone.
-func (p *Planner) NextHold(now clock.Millis, incarnation Incarnation) (h Hold, wait clock.Millis, ok bool) {
+func (p *Planner) NextHold(now clock.Millis, incarnation flow.Incarnation) (h Hold, wait clock.Millis, ok bool) {
 	w := p.findWorker(incarnation)
 	if w == nil {
 		return Hold{}, 0, false
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -403,7 +403,7 @@
 func (sim *simulation) sendStart(term uint64, d plan.Start) {
 	answer := func(v plan.Verdict, at clock.Millis) {
 		sim.after(transitTime, func() {
-			sim.step(term, plan.OrderAnswered{Worker: plan.Incarnation{ID: d.Worker.ID, StartedAt: d.Worker.StartedAt}, Task: d.Task, Attempt: d.Attempt, Verdict: v, Clock: at})
+			sim.step(term, plan.OrderAnswered{Worker: flow.Incarnation{ID: d.Worker.ID, StartedAt: d.Worker.StartedAt}, Task: d.Task, Attempt: d.Attempt, Verdict: v, Clock: at})
 		})
 	}
 	if sim.carriers != nil {
@@ -699,12 +699,12 @@
 		return
 	}
 	if at, ok := f.stopped[attemptKey(d.Task, d.Attempt)]; ok {
-		sim.step(term, plan.OrderAnswered{Worker: plan.Incarnation{ID: d.Worker.ID, StartedAt: d.Worker.StartedAt}, Task: d.Task, Attempt: d.Attempt, Stop: true, Verdict: plan.VerdictDone, Clock: at})
+		sim.step(term, plan.OrderAnswered{Worker: flow.Incarnation{ID: d.Worker.ID, StartedAt: d.Worker.StartedAt}, Task: d.Task, Attempt: d.Attempt, Stop: true, Verdict: plan.VerdictDone, Clock: at})
 	}
 }
 
 // sendHold keeps one hold in progress to a worker, as the leader's runtime does.
-func (sim *simulation) sendHold(term uint64, incarnation plan.Incarnation) {
+func (sim *simulation) sendHold(term uint64, incarnation flow.Incarnation) {
 	if term != sim.term {
 		return
 	}
@@ -750,7 +750,7 @@
 	sim.after(f.transit(), func() { sim.answerHold(term, incarnation, h, f, sentAt, sim.now) })
 }
 
-func (sim *simulation) answerHold(term uint64, incarnation plan.Incarnation, h plan.Hold, f *fakeWorker, sentAt, receivedAt clock.Millis) {
+func (sim *simulation) answerHold(term uint64, incarnation flow.Incarnation, h plan.Hold, f *fakeWorker, sentAt, receivedAt clock.Millis) {
 	if !sim.isReachable(f) {
 		failsAfter := h.MaxWait + 600
 		if (!f.alive && !f.vanishes) || f.refuses {
--- a/vbridged/fleet/admit_test.go
+++ b/vbridged/fleet/admit_test.go
@@ -38,7 +38,7 @@
 	}
 	apply(ledger.Configure{Config: config})
 	apply(ledger.RegisterWorker{Worker: w})
-	d.session.planner.Step(c.now, plan.HoldAnswered{Worker: plan.Incarnation{ID: "w", StartedAt: 1}, SentAt: c.now, ReceivedAt: c.now, Clock: 1})
+	d.session.planner.Step(c.now, plan.HoldAnswered{Worker: flow.Incarnation{ID: "w", StartedAt: 1}, SentAt: c.now, ReceivedAt: c.now, Clock: 1})
 	for i := range 20 {
 		apply(ledger.Submit{Host: "h", Path: fmt.Sprintf("/a/%02d", i), Now: c.now, Key: flow.HashKey("k"), Job: flow.Job{Steps: []flow.Step{{Count: 1, Need: need, Estimate: 1000}}}})
 	}
--- a/vbridged/fleet/log_test.go
+++ b/vbridged/fleet/log_test.go
@@ -26,7 +26,7 @@
 	}
 	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(&lines, &slog.HandlerOptions{ReplaceAttr: withoutTime})))
 	defer klog.ClearLogger()
-	worker := plan.Incarnation{ID: "i-7f3a91c2", StartedAt: 1796583114650}
+	worker := flow.Incarnation{ID: "i-7f3a91c2", StartedAt: 1796583114650}
 	task := flow.Task{Job: "5c0e7a21d94b36f8", Step: 1, Index: 17}
 	known := plan.ProcessState{LeaseEnd: 486_000, Clock: 482_113, ListedEnd: 58, AckedEnd: 57}
 	fleet.LogDecisions(fleet.NewMetrics(prometheus.NewRegistry()), 7,
--- a/vbridged/fleet/orders.go
+++ b/vbridged/fleet/orders.go
@@ -116,7 +116,7 @@
 		kind = "stop"
 		w, answer.Task, answer.Attempt, answer.Stop = x.Worker, x.Task, x.Attempt, true
 	}
-	answer.Worker = plan.Incarnation{ID: w.ID, StartedAt: w.StartedAt}
+	answer.Worker = w.Incarnation()
 	d.metrics.observeOrder(kind, v, took)
 	if v != plan.VerdictDone { // the decision to place the task is logged already
 		klog.InfoS("order", "kind", kind, "task", answer.Task.String(), "attempt", answer.Attempt, "worker", w.ID, "born", int64(w.StartedAt), "verdict", v.String(),
--- a/vbridged/fleet/orders_test.go
+++ b/vbridged/fleet/orders_test.go
@@ -61,7 +61,7 @@
 		d.mu.Lock()
 		d.sendOrders(s)
 		d.mu.Unlock()
-		if _, ok := d.sendNextHold(s, plan.Incarnation{ID: w.ID, StartedAt: w.StartedAt}, route{}); !ok {
+		if _, ok := d.sendNextHold(s, flow.Incarnation{ID: w.ID, StartedAt: w.StartedAt}, route{}); !ok {
 			t.Fatal("no further holds, want that they go on")
 		}
 	}
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"vanillabridge/core/flow"
+
 	"k8s.io/klog/v2"
 
 	"vanillabridge/core/clock"
@@ -67,7 +69,7 @@
 
 // sendHolds sends holds to a worker until the planner has no more for this incarnation of the worker
 // or the session ends.
-func (d *Domain) sendHolds(s *session, incarnation plan.Incarnation) {
+func (d *Domain) sendHolds(s *session, incarnation flow.Incarnation) {
 	for {
 		way := s.relays.route(incarnation.ID)
 		if way.wait {
@@ -99,7 +101,7 @@
 
 // sendNextHold sends the next hold of a worker if it is due. It returns how long to wait before the next
 // call, and false once there are no more holds to send.
-func (d *Domain) sendNextHold(s *session, incarnation plan.Incarnation, way route) (wait clock.Millis, ok bool) {
+func (d *Domain) sendNextHold(s *session, incarnation flow.Incarnation, way route) (wait clock.Millis, ok bool) {
 	d.mu.Lock()
 	if d.session != s {
 		d.mu.Unlock()
@@ -136,7 +138,7 @@
 	}
 }
 
-func (d *Domain) sendHold(s *session, incarnation plan.Incarnation, h plan.Hold, call Call) {
+func (d *Domain) sendHold(s *session, incarnation flow.Incarnation, h plan.Hold, call Call) {
 	ctx, cancel := context.WithTimeout(s.ctx, (h.MaxWait + holdReplyGrace + call.way.grace()).Duration())
 	defer cancel()
 	sent := d.now()
