core/quorum: a request of a leader's former process is no contact with its majority

A replica that keeps its disk keeps its identity, so its next process can lead again in a later term. A follower that is in that term already and reads a late append of the former process rejects it, and repeated its time of sending under the present term. The new leader took that time for one of its own clock. If the wall clock was set back before its start, the time lies ahead: with three voters the leader then counts a majority as in contact whatever happens, holds its lease and never steps down. Cut off, it answers reads and grants permissions to relays while another replica leads.

A time of sending now belongs to the process that leads the term of the message: a request of an earlier term is answered without it, and a leader takes a time outside its own leadership for no contact, since followers of earlier versions still repeat it. An answer without a time still carries the term, so that an old leader steps down as before.

In the simulation each process now has a clock of its own; before, clocks went on over a restart.

TestRequestOfFormerProcessIsNoContact and TestRequestOfEarlierTermIsAnsweredWithoutTime failed before: a lease without an answer, leading on two election timeouts later, and SentAt 10s in the answers.

--- a/core/quorum/lead.go
+++ b/core/quorum/lead.go
@@ -185,7 +185,7 @@
 	if n.role != leader || m.Term != n.hardState.Term || p == nil {
 		return
 	}
-	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
+	n.recordContact(p, m)
 	if m.Reject {
 		p.recordReject(m.Index, m.Hint)
 		return
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -43,7 +43,8 @@
 	LogTerm uint64  `cbor:"8,keyasint,omitempty"`
 	Commit  uint64  `cbor:"9,keyasint,omitempty"`
 	Entries []Entry `cbor:"10,keyasint,omitempty"`
-	// SentAt is the time of sending by the leader's clock; replies repeat the value of the request.
+	// SentAt is the time of sending by the clock of the process that leads Term; replies in that term repeat the value of the
+	// request.
 	SentAt    clock.Millis `cbor:"11,keyasint,omitempty"`
 	RequestID uint64       `cbor:"12,keyasint,omitempty"`
 	Reject    bool         `cbor:"13,keyasint,omitempty"`
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -57,6 +57,14 @@
 	p.probing, p.paused = true, false
 }
 
+// recordContact records that a member answered a request of this leader. A time before the leader's election or in the
+// future is that of a request of an earlier term, which followers of earlier versions repeat.
+func (n *Node) recordContact(p *progress, m Message) {
+	if m.SentAt >= n.leaderState.electedAt && m.SentAt <= n.now {
+		p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
+	}
+}
+
 // majorityValue returns the highest value that a majority of the given values has reached.
 func majorityValue[T clock.Millis | uint64](values []T) T {
 	if len(values) == 0 {
--- a/core/quorum/receive.go
+++ b/core/quorum/receive.go
@@ -68,12 +68,11 @@
 
 // handleAppend appends the entries of a message if both logs agree at the entry before them.
 func (n *Node) handleAppend(m Message) {
-	r := Message{Kind: KindAppendReply, To: m.From, SentAt: m.SentAt, RequestID: m.RequestID}
 	if m.Term < n.hardState.Term {
-		r.Reject = true
-		n.send(r)
+		n.rejectEarlierTerm(m)
 		return
 	}
+	r := Message{Kind: KindAppendReply, To: m.From, SentAt: m.SentAt, RequestID: m.RequestID}
 	n.followLeader(m)
 	if m.Index < n.commitIndex {
 		m = trimCommitted(m, n.commitIndex)
@@ -93,6 +92,12 @@
 	n.sendAfterLogSync(r)
 }
 
+// rejectEarlierTerm tells the leader of an earlier term the present one. The answer belongs to the present term, so it does
+// not repeat SentAt, which is a time of the earlier leader's clock: its instance may lead again with another clock.
+func (n *Node) rejectEarlierTerm(m Message) {
+	n.send(Message{Kind: KindAppendReply, To: m.From, Reject: true})
+}
+
 // trimCommitted removes the entries up to the commit index from an append message, since committed
 // entries are the same in both logs.
 func trimCommitted(m Message, commitIndex uint64) Message {
--- a/core/quorum/replica_test.go
+++ b/core/quorum/replica_test.go
@@ -52,7 +52,9 @@
 	r.disk = diskContent{}
 }
 
+// start starts a process, whose clock has no relation to that of the process before.
 func (r *replica) start() {
+	r.clockOffset = clock.Millis(r.cluster.rng.IntN(1_000_000))
 	cfg := Config{
 		Group: "g", Self: NewID(r.name, r.incarnation), Peers: r.cluster.peers, InitialVoters: r.cluster.voters, Bootstrap: r.canBootstrap,
 		Timing: r.cluster.timing, Limits: r.cluster.limits, Seed: r.cluster.rng.Uint64(),
--- a/core/quorum/rules_test.go
+++ b/core/quorum/rules_test.go
@@ -276,3 +276,35 @@
 		t.Errorf("sent at a tick: %+v, want only the commit index to b", h.sent)
 	}
 }
+
+// Guards against a leader that keeps its lease without a majority: a follower answers a late request of the former
+// process of its instance, whose clock was ahead.
+func TestRequestOfFormerProcessIsNoContact(t *testing.T) {
+	for name, sentAt := range map[string]clock.Millis{"clock ahead": clock.Hour, "clock behind": 3 * clock.Second} {
+		h := restoredNode(t, 2)
+		h.elect()
+		h.receive(Message{Kind: KindAppendReply, Term: h.node.hardState.Term, Reject: true, SentAt: sentAt})
+		if h.node.hasLease() {
+			t.Errorf("%s: the leader has a lease though nobody has answered it", name)
+		}
+		h.now += 2 * DefaultTiming().ElectionTimeout
+		h.step(Tick{})
+		if h.node.role == leader {
+			t.Errorf("%s: it still leads two election timeouts later", name)
+		}
+	}
+}
+
+// Guards against a follower that repeats the time of a request of an earlier term: another process sent it, whose clock
+// the leader of the present term can't know.
+func TestRequestOfEarlierTermIsAnsweredWithoutTime(t *testing.T) {
+	meta := SnapshotMeta{Index: 9, Term: 2}
+	for _, m := range []Message{{Kind: KindAppend}, {Kind: KindSnapshotChunk, Chunk: &SnapshotChunk{Meta: meta}}} {
+		h := restoredNode(t, 3)
+		m.Term, m.SentAt = 2, h.now
+		h.receive(m)
+		if last := h.sent[len(h.sent)-1]; !last.Reject || last.SentAt != 0 || last.Term != 3 {
+			t.Errorf("answer to a request of kind %d of an earlier term is %+v, want a rejection in term 3 without a time", m.Kind, last)
+		}
+	}
+}
--- a/core/quorum/snapshot.go
+++ b/core/quorum/snapshot.go
@@ -66,7 +66,7 @@
 	if n.role != leader || m.Term != n.hardState.Term || p == nil {
 		return
 	}
-	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
+	n.recordContact(p, m)
 	if p.outgoingSnapshot == nil || m.Hint == p.outgoingSnapshot.offset {
 		return
 	}
@@ -76,7 +76,7 @@
 
 func (n *Node) handleSnapshotChunk(m Message) {
 	if m.Term < n.hardState.Term {
-		n.send(Message{Kind: KindAppendReply, To: m.From, SentAt: m.SentAt, Reject: true})
+		n.rejectEarlierTerm(m)
 		return
 	}
 	n.followLeader(m)
--- a/core/quorum/world_test.go
+++ b/core/quorum/world_test.go
@@ -77,7 +77,6 @@
 	}
 	for _, p := range peers {
 		r := &replica{cluster: cl, name: p.Name, clockRate: 1, canBootstrap: true}
-		r.clockOffset = clock.Millis(cl.rng.IntN(1_000_000))
 		cl.replicas = append(cl.replicas, r)
 		r.eraseDisk()
 		r.start()
