core/quorum: the answer to a read of an earlier process confirms no read of the next one

A follower sends the leader the ID of a read, which its process counts from 1, under the identity of the replica, which stays the same over a restart from the disk. The leader's answer to a read of an earlier process may still be in its queue to the instance, or wait for a majority; the next process took it for the answer to its own read of that ID. Barrier then returned before entries were applied that had been acknowledged in between, and a configuration read there could be older than one that was acknowledged (promise config).

Each process now adds a random number of its own to the IDs in messages, so that it knows the answers to its own reads only.

In the simulation each process counts its reads anew; before, IDs were unique over all replicas, so that no test could show this. TestReadOfFormerProcessConfirmsNoOther failed before: index 1 of the first process's answer confirmed the second one's read. It also shows that the process's own answer still confirms it.

--- a/core/quorum/config.go
+++ b/core/quorum/config.go
@@ -105,7 +105,8 @@
 	Bootstrap bool
 	Timing    Timing
 	Limits    Limits
-	// Seed seeds the random part of election timeouts, so that runs are reproducible.
+	// Seed seeds the random part of election timeouts and the numbers of reads in messages, so that runs are reproducible.
+	// It must be another one for each process of a replica.
 	Seed uint64
 }
 
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -56,8 +56,11 @@
 	bootstrap        bootstrapState
 	// forwardedReads holds, by read ID, when each read was sent to the leader.
 	forwardedReads map[uint64]clock.Millis
-	nextJoinAt     clock.Millis
-	reportedRole   RoleChange
+	// readBase is added to the IDs of reads in messages. Callers count reads anew in each process, and the leader's answer
+	// to a read of an earlier process of this replica must not confirm one of this process.
+	readBase     uint64
+	nextJoinAt   clock.Millis
+	reportedRole RoleChange
 }
 
 type indexedMembership struct {
@@ -90,6 +93,7 @@
 	// so just now.
 	n.leaseGranted, n.leaderHeardAt = r.HardState.Term > 0, now
 	n.bootstrap.reset()
+	n.readBase = n.rng.Uint64()
 	n.resetElectionDeadline()
 	return n, nil
 }
--- a/core/quorum/read.go
+++ b/core/quorum/read.go
@@ -22,7 +22,7 @@
 		n.outputs = append(n.outputs, Rejected{ID: id, IsRead: true, Err: fault.Wrap(fault.ErrUnavailable, "request read index: group %q has no known leader", n.cfg.Group)})
 	default:
 		n.forwardedReads[id] = n.now
-		n.send(Message{Kind: KindReadIndex, To: n.leaderID, RequestID: id})
+		n.send(Message{Kind: KindReadIndex, To: n.leaderID, RequestID: n.readBase + id})
 	}
 }
 
@@ -40,15 +40,16 @@
 }
 
 func (n *Node) handleReadIndexReply(m Message) {
-	if _, ok := n.forwardedReads[m.RequestID]; !ok {
+	id := m.RequestID - n.readBase
+	if _, ok := n.forwardedReads[id]; !ok {
 		return
 	}
-	delete(n.forwardedReads, m.RequestID)
+	delete(n.forwardedReads, id)
 	if m.Reject {
-		n.outputs = append(n.outputs, Rejected{ID: m.RequestID, IsRead: true, Err: fault.Wrap(fault.ErrUnavailable, "request read index: leader of group %q changed before the read was confirmed", n.cfg.Group)})
+		n.outputs = append(n.outputs, Rejected{ID: id, IsRead: true, Err: fault.Wrap(fault.ErrUnavailable, "request read index: leader of group %q changed before the read was confirmed", n.cfg.Group)})
 		return
 	}
-	n.outputs = append(n.outputs, ReadConfirmed{ID: m.RequestID, Index: m.Index})
+	n.outputs = append(n.outputs, ReadConfirmed{ID: id, Index: m.Index})
 }
 
 // expireForwardedReads removes reads whose answer was lost. By then the caller has retried them.
--- a/core/quorum/replica_test.go
+++ b/core/quorum/replica_test.go
@@ -25,6 +25,7 @@
 	unsynced     []Persist
 	disk         diskContent
 	appliedIndex uint64
+	lastReadID   uint64
 	canBootstrap bool
 }
 
@@ -65,7 +66,7 @@
 	if err != nil {
 		r.cluster.t.Fatalf("start %s: %v", r.name, err)
 	}
-	r.node, r.paused, r.appliedIndex, r.unsynced = n, false, d.snapshot.Meta.Index, nil
+	r.node, r.paused, r.appliedIndex, r.unsynced, r.lastReadID = n, false, d.snapshot.Meta.Index, nil, 0
 	r.generation++
 	r.scheduleTick(r.generation)
 }
--- a/core/quorum/rules_test.go
+++ b/core/quorum/rules_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"vanillabridge/core/clock"
 	"vanillabridge/core/model"
 )
@@ -16,6 +18,7 @@
 	now            clock.Millis
 	sent           []Message
 	applied        []Entry
+	confirmed      []ReadConfirmed
 	lastPersistSeq uint64
 	manualSync     bool
 }
@@ -26,6 +29,12 @@
 // restoredNode returns a node for replica a of a, b and c. Its log holds the membership and then
 // entries of the given terms.
 func restoredNode(t *testing.T, terms ...uint64) *nodeHarness {
+	t.Helper()
+	return restoredProcess(t, 0, terms...)
+}
+
+// restoredProcess is restoredNode for a process with the given seed.
+func restoredProcess(t *testing.T, seed uint64, terms ...uint64) *nodeHarness {
 	t.Helper()
 	var m Membership
 	for _, n := range []model.Instance{"a", "b", "c"} {
@@ -36,7 +45,7 @@
 		r.Entries = append(r.Entries, Entry{Index: uint64(i) + 2, Term: term})
 		r.HardState.Term = term
 	}
-	cfg := Config{Group: "g", Self: firstID("a"), Peers: peersInOneZone("a", "b", "c", "d", "e"), InitialVoters: []model.Instance{"a", "b", "c"}, Timing: DefaultTiming(), Limits: DefaultLimits()}
+	cfg := Config{Group: "g", Self: firstID("a"), Peers: peersInOneZone("a", "b", "c", "d", "e"), InitialVoters: []model.Instance{"a", "b", "c"}, Timing: DefaultTiming(), Limits: DefaultLimits(), Seed: seed}
 	n, err := New(0, cfg, r)
 	if err != nil {
 		t.Fatal(err)
@@ -51,6 +60,8 @@
 			h.sent = append(h.sent, o.Message)
 		case Apply:
 			h.applied = append(h.applied, o.Entries...)
+		case ReadConfirmed:
+			h.confirmed = append(h.confirmed, o)
 		case Persist:
 			h.lastPersistSeq = o.Seq
 		}
@@ -308,3 +319,22 @@
 		}
 	}
 }
+
+// Guards against a stale read: the leader's late answer to a read of the former process of an instance confirms a read of
+// the process that follows it.
+func TestReadOfFormerProcessConfirmsNoOther(t *testing.T) {
+	var h *nodeHarness
+	var requests []Message
+	for seed := range uint64(2) {
+		h = restoredProcess(t, seed, 2)
+		h.receive(Message{Kind: KindAppend, Term: 2, Index: 2, LogTerm: 2})
+		h.step(ReadIndex{ID: 1})
+		requests = append(requests, h.sent[len(h.sent)-1])
+	}
+	for i, r := range requests {
+		h.receive(Message{Kind: KindReadIndexReply, Term: 2, RequestID: r.RequestID, Index: uint64(i) + 1})
+	}
+	if diff := cmp.Diff([]ReadConfirmed{{ID: 1, Index: 2}}, h.confirmed); diff != "" {
+		t.Errorf("confirmed reads of the second process (-want +got):\n%s", diff)
+	}
+}
--- a/core/quorum/world_test.go
+++ b/core/quorum/world_test.go
@@ -53,8 +53,8 @@
 
 	leaders   map[uint64]ID // by term
 	committed []Entry
-	// readFloors holds, by read ID, the lowest index that the read may return.
-	readFloors      map[uint64]uint64
+	// readFloors holds the lowest index that each read may return.
+	readFloors      map[readKey]uint64
 	readsAnswered   int
 	lastRequestID   uint64
 	lastIncarnation uint64
@@ -70,7 +70,7 @@
 		limits:      Limits{MessageBytes: 200, MaxInflight: 4, UncommittedBytes: 1 << 20, ChunkBytes: 64, SnapshotBytes: 1 << 20, TrailingEntries: 3, LearnerLag: 4},
 		maxSyncTime: 20, snapshotEvery: 8, clocksBounded: true,
 		links:   linkFaults{maxDelay: 5},
-		leaders: map[uint64]ID{}, readFloors: map[uint64]uint64{}, bytesTo: map[model.Instance]int{}, sentByKind: map[MessageKind]int{},
+		leaders: map[uint64]ID{}, readFloors: map[readKey]uint64{}, bytesTo: map[model.Instance]int{}, sentByKind: map[MessageKind]int{},
 	}
 	for _, p := range peers[:voters] {
 		cl.voters = append(cl.voters, p.Name)
@@ -197,17 +197,24 @@
 	}
 }
 
+// readKey identifies a read. Each process counts its reads from 1.
+type readKey struct {
+	replica    *replica
+	generation int
+	id         uint64
+}
+
 func (cl *cluster) read(r *replica) {
-	cl.lastRequestID++
-	cl.readFloors[cl.lastRequestID] = uint64(len(cl.committed))
-	r.deliver(ReadIndex{cl.lastRequestID})
+	r.lastReadID++
+	cl.readFloors[readKey{r, r.generation, r.lastReadID}] = uint64(len(cl.committed))
+	r.deliver(ReadIndex{r.lastReadID})
 }
 
 // checkRead checks that a read covers all entries that any replica had applied when the read was
 // requested.
 func (cl *cluster) checkRead(r *replica, o ReadConfirmed) {
 	cl.readsAnswered++
-	if floor := cl.readFloors[o.ID]; cl.clocksBounded && o.Index < floor {
+	if floor := cl.readFloors[readKey{r, r.generation, o.ID}]; cl.clocksBounded && o.Index < floor {
 		cl.t.Fatalf("%s answers a read with index %d, but %d was committed before:\n%s", r.name, o.Index, floor, cl.dump())
 	}
 }
