vbridged/sched: the leases of an epoch outlive a reload of the state

A leader that loads its state anew (a commit with unknown outcome, a service with a new description) made a new lease.Tracker for the same epoch. The Tracker believes an incarnation of a worker once a request carries the epoch, since ended ones can't have learned it. In an epoch that goes on they can: late requests of an ended process were taken for those of a restarted worker. The tasks of the live process started again elsewhere while they ran (promise single), and the live process was refused as replaced until its lease ended and beyond, so that it got no work.

There is now one Tracker for each epoch, which knows the order of the incarnations. A live worker is confirmed at once after a reload; a new one needs one request, as before. Placing the restored incarnation first in the list was ruled out: a worker that holds no tasks isn't restored.

TestLateRequestsOfEarlierIncarnationAfterReload failed before: attempt 2 was assigned while attempt 1 was held, and the live worker's sync was refused.

--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -41,7 +41,8 @@
 )
 
 // Tracker tracks the leases that a leader grants during one epoch: it decides which requests are
-// current and which leases have certainly ended. It is not safe for concurrent use.
+// current and which leases have certainly ended. There must be only one for an epoch: a second one would
+// not know in which order the incarnations that have learned the epoch ran. It is not safe for concurrent use.
 type Tracker struct {
 	epoch         model.Epoch
 	expiryTimeout clock.Millis
@@ -66,8 +67,12 @@
 	return &Tracker{epoch: epoch, expiryTimeout: ExpiryTimeout(duration), workers: make(map[model.WorkerID]*workerRecord)}
 }
 
+// Epoch returns the epoch of the leader.
+func (t *Tracker) Epoch() model.Epoch { return t.epoch }
+
 // Restore adds a worker that holds tasks according to durable state. A new leader calls it when it is
-// elected: the previous leader may have renewed the worker's lease up to that moment.
+// elected: the previous leader may have renewed the worker's lease up to that moment. A leader that reads
+// its state anew may call it again.
 func (t *Tracker) Restore(now clock.Millis, w model.WorkerID, incarnation model.Incarnation) {
 	r, ok := t.workers[w]
 	if !ok {
--- a/core/lease/single_test.go
+++ b/core/lease/single_test.go
@@ -92,8 +92,14 @@
 func (c *cluster) electLeader() {
 	c.epoch++
 	c.hasLeader = true
-	c.sched = place.New(place.Config{Seed: uint64(c.epoch)})
 	c.tracker = lease.NewTracker(c.epoch, lease.DefaultDuration)
+	c.loadState()
+}
+
+// loadState starts a new scheduler from the durable state, as a new leader does, or one that doesn't know what was
+// committed. The latter keeps its Tracker.
+func (c *cluster) loadState() {
+	c.sched = place.New(place.Config{Seed: uint64(c.epoch)})
 	c.orders = make(map[model.TaskID]place.Order)
 	for _, job := range []model.JobID{"a/1", "b/1", "g/1"} {
 		e := place.Submit{Job: job, Work: workOf(job)}
@@ -333,13 +339,15 @@
 func (c *cluster) injectFault() {
 	n := c.nodes[rapid.IntRange(0, len(c.nodes)-1).Draw(c.t, "node")]
 	duration := clock.Millis(rapid.IntRange(1, 30).Draw(c.t, "seconds")) * clock.Second
-	switch rapid.SampledFrom([]string{"restart", "pause", "cut", "leader", "none"}).Draw(c.t, "fault") {
+	switch rapid.SampledFrom([]string{"restart", "pause", "cut", "leader", "reload", "none"}).Draw(c.t, "fault") {
 	case "restart":
 		c.startWorker(n)
 	case "pause":
 		n.pausedUntil = c.now + duration
 	case "cut":
 		n.partitionedUntil = c.now + duration
+	case "reload":
+		c.loadState()
 	case "leader":
 		c.hasLeader = false
 		c.runFor(min(duration, 3*clock.Second))
@@ -355,7 +363,7 @@
 
 // Guards against a task that runs on two workers, an attempt that is started twice and a task that is
 // never finished, under message loss, delay, reordering and duplication, failed commits, pauses,
-// network partitions, restarts of workers and changes of the leader.
+// network partitions, restarts of workers, changes of the leader and leaders that load their state anew.
 func TestSingleRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(t)
--- a/vbridged/sched/lead.go
+++ b/vbridged/sched/lead.go
@@ -43,7 +43,7 @@
 		runner:              r,
 		epoch:               epoch,
 		placement:           place.New(place.Config{Zone: r.options.Zone, Seed: r.options.Seed, UsageHistory: r.usageHistory}),
-		leases:              lease.NewTracker(epoch, r.options.Lease),
+		leases:              r.leasesOf(epoch),
 		workers:             map[model.WorkerID]*worker{},
 		orders:              map[model.TaskID]place.Order{},
 		reportedEnds:        map[attemptKey]proto.TaskEnd{},
@@ -55,6 +55,15 @@
 	return l
 }
 
+// leasesOf returns the leases of an epoch. They are kept when the state is reloaded, because they tell the present
+// incarnation of a worker from ended ones that have learned the epoch too.
+func (r *runner) leasesOf(epoch model.Epoch) *lease.Tracker {
+	if r.leases == nil || r.leases.Epoch() != epoch {
+		r.leases = lease.NewTracker(epoch, r.options.Lease)
+	}
+	return r.leases
+}
+
 // restoreFromState builds the placement state from the replicated state. Workers that hold tasks get a
 // full lease from now, because an earlier leader may have renewed their lease until just before.
 func (l *leaderState) restoreFromState(now clock.Millis) {
--- a/vbridged/sched/sched.go
+++ b/vbridged/sched/sched.go
@@ -10,6 +10,7 @@
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
+	"vanillabridge/core/lease"
 	"vanillabridge/core/model"
 	"vanillabridge/core/place"
 	"vanillabridge/core/proto"
@@ -159,6 +160,7 @@
 	leader       *leaderState
 	usageHistory place.UsageHistory // resource use and run times learned in earlier terms of this process
 	lastBatch    uint64             // number of the last proposed batch
+	leases       *lease.Tracker     // of the last epoch in which this process led
 }
 
 func (r *runner) now() clock.Millis { return r.options.Clock.Now() }
--- a/vbridged/sched/sched_test.go
+++ b/vbridged/sched/sched_test.go
@@ -235,6 +235,42 @@
 	})
 }
 
+// Guards against late requests of an ended worker process that learned the epoch, which count as those of the live process
+// once the leader has reloaded its state. The tasks of the live process would run on two workers, and it would get none.
+func TestLateRequestsOfEarlierIncarnationAfterReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tz := newTestZone(t)
+		dead, live := &testWorker{zone: tz, name: "a", incarnation: 1}, &testWorker{zone: tz, name: "a", incarnation: 2}
+		for _, w := range []*testWorker{dead, dead, live, live} {
+			if err := w.sync(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		id := tz.submitBatch(1)
+		if !live.syncUntil(20*time.Second, func() bool { return len(live.reply.Tasks) == 1 }) {
+			t.Fatal("the task was not assigned")
+		}
+		live.acceptTasks()
+		tz.mu.Lock()
+		tz.lostOutcomes = 1 // of the start of the task
+		tz.mu.Unlock()
+		reloaded := func() bool { tz.mu.Lock(); defer tz.mu.Unlock(); return tz.lostOutcomes == 0 }
+		if !live.syncUntil(20*time.Second, reloaded) {
+			t.Fatal("the state was not reloaded")
+		}
+		for range 3 {
+			time.Sleep(time.Second)
+			_ = dead.sync()
+		}
+		if err := live.sync(); err != nil {
+			t.Errorf("sync of the live worker: %v", err)
+		}
+		if got := tz.firstTask(id); got.Attempt != 1 || !got.IsActive() {
+			t.Errorf("task is in phase %s of attempt %d, want held in attempt 1", got.Phase, got.Attempt)
+		}
+	})
+}
+
 // Guards against the confirmation of a task's outcome before it is committed, after which the worker
 // would discard it, and against an outcome that is applied twice.
 func TestOutcomeIsConfirmedAfterCommit(t *testing.T) {
