vbridged/entry, core/member: requests reach only the process of a backend server that they are meant for

A permit belongs to one process of a server, but a connection was opened to an address. A server that starts again at its address within 2 s is eligible under both incarnations for up to 1.5 s: the requests for the former process ran in the present one, beside its own, up to twice its slots and connections (promise capacity).

Requests now name the process in Vb-Incarnation. Another one answers 421 with its own incarnation and runs nothing; such a request counts as not sent, so it goes to another server, or is refused as not run if its body has been read. Of the processes that announce one address under one name, the one that became known last is used, unless it is silent for 2 s: a late announcement of the former one keeps the present one out that long at most. That also shortens the overlap for servers that ignore the header, which docs/requests.md names as an assumption. Ruled out: a check of each new connection, which costs a round trip, and counting permits by address, since the granter's and the instances' views of the change differ.

TestLatestProcessAtAddressIsUsed failed on a copy of the code as found.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -56,7 +56,7 @@
 	ActiveRequests *int         // requests in progress by the newest announcement; nil if the server does not count them
 }
 
-// Input is an input of a Table: AnnouncementReceived, DialEnded or Tick.
+// Input is an input of a Table: AnnouncementReceived, DialEnded, Replaced or Tick.
 type Input interface{ input() }
 
 // AnnouncementReceived reports an announcement that was received from the server or by relay.
@@ -72,11 +72,15 @@
 	OK     bool
 }
 
+// Replaced reports that another process answered at the address of a server.
+type Replaced struct{ Server Key }
+
 // Tick advances the time.
 type Tick struct{}
 
 func (AnnouncementReceived) input() {}
 func (DialEnded) input()            {}
+func (Replaced) input()             {}
 func (Tick) input()                 {}
 
 // Output is an output of a Table: BecameEligible or BecameIneligible.
@@ -93,6 +97,7 @@
 	CauseExpired    Cause = "age"     // no announcement for MaxAnnouncementAge
 	CauseDialFailed Cause = "dial"    // MaxDialFailures consecutive failed connections
 	CauseLeaving    Cause = "leaving" // the server announced that it is leaving
+	CauseReplaced   Cause = "restart" // another process of the server runs at its address
 )
 
 // BecameIneligible reports that a server is no longer eligible.
@@ -106,14 +111,16 @@
 
 type entry struct {
 	Server
-	announcements int // announcements since the last loss of eligibility
-	dialFailures  int // consecutive failed connections
+	added         uint64 // order in which the servers became known
+	announcements int    // announcements since the last loss of eligibility
+	dialFailures  int    // consecutive failed connections
 }
 
 // Table holds the known backend servers.
 type Table struct {
 	servers       map[Key]*entry
-	sortedKeys    []Key // makes the order of outputs deterministic
+	sortedKeys    []Key  // makes the order of outputs deterministic
+	lastAdded     uint64 // of the entry that was added last
 	lastStep      clock.Millis
 	pauseLength   clock.Millis // of the last pause
 	bufferedUntil clock.Millis // end of the BufferedWindow after the last pause
@@ -133,6 +140,11 @@
 		return t.handleAnnouncement(now, in, out)
 	case DialEnded:
 		return t.handleDialEnded(in, out)
+	case Replaced:
+		if e, ok := t.servers[in.Server]; ok && e.Eligible {
+			out = append(out, e.makeIneligible(CauseReplaced))
+		}
+		return out
 	default:
 		return out
 	}
@@ -216,8 +228,17 @@
 	if now-e.AnnouncedAt >= MaxAnnouncementAge {
 		return out
 	}
+	isReplaced := false
+	for _, other := range t.processesAt(e) {
+		switch {
+		case other.added > e.added && now-other.AnnouncedAt < MaxAnnouncementAge:
+			isReplaced = true
+		case other.added < e.added && other.Eligible:
+			out = append(out, other.makeIneligible(CauseReplaced))
+		}
+	}
 	e.announcements++
-	if e.announcements < RiseThreshold || e.Eligible || e.Leaving {
+	if e.announcements < RiseThreshold || e.Eligible || e.Leaving || isReplaced {
 		return out
 	}
 	e.Eligible = true
@@ -225,6 +246,19 @@
 	return append(out, BecameEligible{Server: e.Server})
 }
 
+// processesAt returns the entries of the other processes of a server at its address. The one that became known last
+// runs there; while that one is silent, the announcements of an earlier one count, as it may have become known late.
+func (t *Table) processesAt(e *entry) []*entry {
+	var list []*entry
+	at, _ := slices.BinarySearchFunc(t.sortedKeys, Key{Name: e.Name}, CompareKeys)
+	for ; at < len(t.sortedKeys) && t.sortedKeys[at].Name == e.Name; at++ {
+		if other := t.servers[t.sortedKeys[at]]; other != e && other.Address == e.Address {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
 // announcedAt returns the earliest time at which an announcement can have been made.
 func (t *Table) announcedAt(now clock.Millis, in AnnouncementReceived) clock.Millis {
 	age := max(in.MaxAge, 0)
@@ -238,7 +272,8 @@
 	if len(t.servers) >= MaxServers {
 		return nil
 	}
-	e := &entry{Server: Server{
+	t.lastAdded++
+	e := &entry{added: t.lastAdded, Server: Server{
 		Key: k, Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: a.Slots, MaxConns: a.MaxConns,
 	}}
 	t.servers[k] = e
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -1,9 +1,11 @@
 package member_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"vanillabridge/core/clock"
@@ -235,3 +237,41 @@
 		t.Errorf("age %v although the echo is from an earlier incarnation, want at least MaxAnnouncementAge", got)
 	}
 }
+
+// Guards against requests for a former process of a server at the address of the next one, and against a live process that
+// stays unused because a former one became known after it.
+func TestLatestProcessAtAddressIsUsed(t *testing.T) {
+	second := member.Key{Name: key.Name, Incarnation: 2}
+	seqs := map[member.Key]uint64{}
+	announce := func(table *member.Table, now clock.Millis, k member.Key) {
+		seqs[k]++
+		a := proto.ServerAnnouncement{Name: k.Name, Incarnation: k.Incarnation, Service: "s", Address: "10.0.0.1:80", Slots: 8, MaxConns: 64, State: proto.ServerServing, Seq: seqs[k]}
+		table.Step(now, member.AnnouncementReceived{Announce: a, Direct: true})
+	}
+	table := member.NewTable(0)
+	var got []string
+	for i, k := range []member.Key{key, key, second, key, key, second, key} {
+		now := clock.Millis(i+1) * 50
+		announce(table, now, k)
+		got = append(got, fmt.Sprint(table.Usable(now, key), table.Usable(now, second)))
+	}
+	want := []string{"false false", "true false", "false false", "false false", "false false", "false true", "false true"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("use of the former and the present process after each announcement (-want +got):\n%s", diff)
+	}
+	table = member.NewTable(0)
+	announce(table, 50, second)
+	announce(table, 100, second)
+	announce(table, 150, key) // late, of the former process
+	const interval = 500 * clock.Millisecond
+	end := 150 + member.MaxAnnouncementAge + interval
+	for now := clock.Millis(200); now <= end; now += 50 {
+		table.Step(now, member.Tick{})
+		if now%interval == 0 {
+			announce(table, now, second)
+		}
+	}
+	if !table.Usable(end, second) {
+		t.Errorf("%s after a late announcement of the former process the present one is still not used", end-150)
+	}
+}
--- a/core/once/flow.go
+++ b/core/once/flow.go
@@ -5,7 +5,7 @@
 	"vanillabridge/core/proto"
 )
 
-// Event is an input of a RequestFlow: BeginResult, Sending, Answered or Failed.
+// Event is an input of a RequestFlow: BeginResult, Sending, Rejected, Answered or Failed.
 type Event interface{ event() }
 
 // BeginResult reports the result of Record.Begin. Result is nil if it is not known.
@@ -14,6 +14,9 @@
 // Sending reports that the first byte is about to be sent to the backend server.
 type Sending struct{}
 
+// Rejected reports that the request was sent to another process than it was meant for, which has not run it.
+type Rejected struct{}
+
 // Answered reports that the answer was received completely.
 type Answered struct{ Answer Answer }
 
@@ -22,6 +25,7 @@
 
 func (BeginResult) event() {}
 func (Sending) event()     {}
+func (Rejected) event()    {}
 func (Answered) event()    {}
 func (Failed) event()      {}
 
@@ -58,7 +62,7 @@
 
 const (
 	stageAwaitingBegin stage = iota
-	stageDispatching         // the request may be sent, but no byte was sent yet
+	stageDispatching         // the request may be sent, but no server can have run it yet
 	stageSent                // the request may have run
 	stageEnded
 )
@@ -81,6 +85,11 @@
 			f.stage = stageSent
 			return Send{}
 		}
+	case Rejected:
+		if f.stage == stageSent {
+			f.stage = stageDispatching
+			return Dispatch{}
+		}
 	case Answered:
 		if f.stage == stageSent {
 			f.stage = stageEnded
--- a/core/proto/header.go
+++ b/core/proto/header.go
@@ -20,6 +20,9 @@
 	HeaderZone = "Vb-Zone"
 	// HeaderAttempt holds the number of the attempt at the backend server, counted from 1.
 	HeaderAttempt = "Vb-Attempt"
+	// HeaderIncarnation holds the incarnation of the backend server that a request is meant for, in decimal. Another one, at
+	// the same address, must not run the request: it answers with status 421 and its own incarnation in this header.
+	HeaderIncarnation = "Vb-Incarnation"
 )
 
 // Outcome states whether a request ran, as far as known when the response is sent.
--- a/vbridged/entry/attempt.go
+++ b/vbridged/entry/attempt.go
@@ -42,7 +42,8 @@
 	_ = p.conn.SetDeadline(time.Now().Add(remaining.Duration()))
 	x := newExchange(p.conn, out, func() error { return e.checkSend(c, p) })
 	refused, err := e.performExchange(w, r, c, x, &result)
-	result.maybeSent = x.guard.maybeSent.Load()
+	sent := x.guard.maybeSent.Load()
+	result.maybeSent = sent && !result.rejected
 	result.cancelled = !result.maybeSent || (!result.responseComplete && r.Context().Err() != nil)
 	c.maybeSent = c.maybeSent || result.maybeSent
 	if x.writeDone != nil && !b.reachedEOF.Load() {
@@ -50,7 +51,7 @@
 		_ = p.conn.Close()
 	}
 	x.waitForWrite()
-	connReusable := !result.maybeSent || (result.responseComplete && x.requestWritten && result.connReusable && p.conn.reader.Buffered() == 0)
+	connReusable := !sent || (result.responseComplete && x.requestWritten && result.connReusable && p.conn.reader.Buffered() == 0)
 	result.connReusable = connReusable
 	if errors.Is(err, errResponseAborted) {
 		c.outcome, c.cause = proto.OutcomeUnknown, err.Error()
@@ -68,6 +69,11 @@
 	if err != nil {
 		return c.newGatewayRefusal(e, "read response header", err), nil
 	}
+	if isRejectedByOther(resp, x.conn.server) {
+		e.noteRejected(c, x.conn.server)
+		result.rejected = true
+		return c.newRefusal(http.StatusServiceUnavailable, "backend server has started again", nil), nil
+	}
 	if err := e.validateResponse(c, resp); err != nil {
 		return c.newRefusal(http.StatusBadGateway, "response rejected", err), nil
 	}
--- a/vbridged/entry/header.go
+++ b/vbridged/entry/header.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 
+	"vanillabridge/core/member"
 	"vanillabridge/core/proto"
 )
 
@@ -17,6 +19,16 @@
 // dropped.
 var entryHeaders = []string{
 	proto.HeaderOutcome, proto.HeaderRequest, proto.HeaderAttempt, proto.HeaderDeadline, proto.HeaderZone,
+	proto.HeaderIncarnation,
+}
+
+func formatIncarnation(k member.Key) string { return strconv.FormatUint(uint64(k.Incarnation), 10) }
+
+// isRejectedByOther reports whether a response says that another process than the server that was meant got the request,
+// and has not run it.
+func isRejectedByOther(resp *http.Response, k member.Key) bool {
+	other := resp.Header.Get(proto.HeaderIncarnation)
+	return resp.StatusCode == http.StatusMisdirectedRequest && other != "" && other != formatIncarnation(k)
 }
 
 // copyEndToEndHeader returns a copy of a header without hopByHopHeaders, entryHeaders and the
--- a/vbridged/entry/lease.go
+++ b/vbridged/entry/lease.go
@@ -132,9 +132,21 @@
 	return p.zone != e.settings.Zone || e.servers.Usable(now, p.server)
 }
 
+// noteRejected records that a request that was sent has not run, because another process runs at the server's address.
+func (e *Entry) noteRejected(c *call, k member.Key) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.ports.Clock.Now()
+	e.stepServers(now, member.Replaced{Server: k})
+	if c.onceFlow != nil {
+		c.onceFlow.Step(now, once.Rejected{})
+	}
+}
+
 // attemptResult describes how an attempt ended.
 type attemptResult struct {
-	maybeSent        bool // a byte may have been sent
+	maybeSent        bool // a byte may have reached a server that may run the request
+	rejected         bool // another process than the server that was meant refused to run it
 	responseComplete bool // the whole response was read
 	connReusable     bool // the connection can carry another request
 	succeeded        bool // the response has no status of a server error
--- a/vbridged/entry/serve.go
+++ b/vbridged/entry/serve.go
@@ -126,6 +126,7 @@
 	h[proto.HeaderRequest] = []string{c.id}
 	h[proto.HeaderZone] = []string{string(c.entryZone)}
 	h[proto.HeaderAttempt] = []string{strconv.Itoa(c.attempts)}
+	h[proto.HeaderIncarnation] = []string{formatIncarnation(c.server)}
 	h[proto.HeaderDeadline] = []string{strconv.FormatInt(int64(remaining), 10)}
 	if !c.idempotent {
 		h[proto.HeaderKey] = []string{c.key.Key}
--- a/vbstand/server/handle.go
+++ b/vbstand/server/handle.go
@@ -42,8 +42,14 @@
 	return []Fault{FaultNone, FaultNoAnswer, FaultReset, FaultTruncate, FaultError, FaultSlow}
 }
 
-// ServeHTTP runs one request and records the start and end of the run.
+// ServeHTTP runs one request and records the start and end of the run. It runs none that is meant for another process.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	own := strconv.FormatUint(uint64(s.incarnation), 10)
+	if meant := r.Header.Get(proto.HeaderIncarnation); meant != "" && meant != own {
+		w.Header().Set(proto.HeaderIncarnation, own)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	run, fault := s.beginRun(r)
 	s.journal.Write(record.Line{Run: &run})
 	err := s.answerRequest(w, r, run.Token, fault)
