--- a/core/quorum/replica_test.go
+++ b/core/quorum/replica_test.go
@@ -25,6 +25,7 @@
 	unsynced     []Persist
 	disk         diskContent
 	appliedIndex uint64
+	lastReadID   uint64
 	canBootstrap bool
 }
 
@@ -52,7 +53,9 @@
 	r.disk = diskContent{}
 }
 
+// start starts a process, whose clock has no relation to that of the process before.
 func (r *replica) start() {
+	r.clockOffset = clock.Millis(r.cluster.rng.IntN(1_000_000))
 	cfg := Config{
 		Group: "g", Self: NewID(r.name, r.incarnation), Peers: r.cluster.peers, InitialVoters: r.cluster.voters, Bootstrap: r.canBootstrap,
 		Timing: r.cluster.timing, Limits: r.cluster.limits, Seed: r.cluster.rng.Uint64(),
@@ -63,7 +66,7 @@
 	if err != nil {
 		r.cluster.t.Fatalf("start %s: %v", r.name, err)
 	}
-	r.node, r.paused, r.appliedIndex, r.unsynced = n, false, d.snapshot.Meta.Index, nil
+	r.node, r.paused, r.appliedIndex, r.unsynced, r.lastReadID = n, false, d.snapshot.Meta.Index, nil, 0
 	r.generation++
 	r.scheduleTick(r.generation)
 }
