core/ledger, core/plan: records of attempts are compared with whole incarnations

Placements, the records of tasks and removals name a worker and its start in two fields; handleAssigned and handleOrderAnswered compared the identifier only. They have a method that returns the incarnation now, and each comparison takes it whole; the stored encoding is unchanged (TestFormsWithoutTeamsAreThoseOfEarlierVersions). The answer to a start order counts for the process that the attempt's orders were sent to, the answer to a stop for the one that it is on now.

--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -54,6 +54,11 @@
 	StartedAt clock.Millis
 }
 
+// Incarnation returns the incarnation that is removed.
+func (c RemoveWorker) Incarnation() flow.Incarnation {
+	return flow.Incarnation{ID: c.ID, StartedAt: c.StartedAt}
+}
+
 // Placement assigns one attempt of a task to one incarnation of a worker.
 type Placement struct {
 	_               struct{} `cbor:",toarray"`
@@ -63,6 +68,11 @@
 	WorkerStartedAt clock.Millis
 }
 
+// Incarnation returns the incarnation that the attempt is assigned to.
+func (p Placement) Incarnation() flow.Incarnation {
+	return flow.Incarnation{ID: p.Worker, StartedAt: p.WorkerStartedAt}
+}
+
 // Assign records placements. It is committed before any start order is sent to a worker.
 type Assign struct {
 	_          struct{} `cbor:",toarray"`
--- a/core/ledger/job.go
+++ b/core/ledger/job.go
@@ -57,6 +57,11 @@
 	Checkpoint      string
 }
 
+// Incarnation returns the incarnation that Attempt is assigned to while Assigned is set.
+func (ts *TaskState) Incarnation() flow.Incarnation {
+	return flow.Incarnation{ID: ts.Worker, StartedAt: ts.WorkerStartedAt}
+}
+
 // Phase is the state of a job in the API.
 type Phase string
 
--- a/core/ledger/state.go
+++ b/core/ledger/state.go
@@ -106,7 +106,7 @@
 	case RegisterWorker:
 		s.registerWorker(c.Worker)
 	case RemoveWorker:
-		if w, ok := s.workers[c.ID]; ok && w.StartedAt == c.StartedAt {
+		if w, ok := s.workers[c.ID]; ok && w.Incarnation() == c.Incarnation() {
 			delete(s.workers, c.ID)
 		}
 	case Assign:
--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -246,7 +246,7 @@
 		}
 		t.charge(w)
 		t.startCallEndedAt = p.now + maxStartCallTime // the calls of an earlier leader have ended by then
-		if w.StartedAt != record.WorkerStartedAt {
+		if w.Incarnation() != record.Incarnation() {
 			t.endIfAbsent = ledger.EndWorkerCrash
 			p.stopInNextProcess(t)
 		}
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -186,7 +186,7 @@
 			p.addWorker(p.now, w)
 		}
 	case ledger.RemoveWorker:
-		p.removeWorker(c.ID, c.StartedAt)
+		p.removeWorker(c.Incarnation())
 	case ledger.Assign:
 		p.handleAssigned(c)
 	case ledger.Settle:
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -178,7 +178,7 @@
 			continue
 		}
 		w := t.worker
-		if _, record := t.step.job.FindTask(t.name); record == nil || !record.Assigned || record.Attempt != t.attempt || record.Worker != w.ID {
+		if _, record := t.step.job.FindTask(t.name); record == nil || !record.Assigned || record.Attempt != t.attempt || record.Incarnation() != w.Incarnation() {
 			// The job ended before the assignment was committed, so the state didn't record it.
 			t.releaseCharge()
 			p.noteCapacityGain(w)
@@ -219,12 +219,14 @@
 // handleOrderAnswered handles the answer to an order.
 func (p *Planner) handleOrderAnswered(e OrderAnswered) {
 	t := p.findAttempt(attemptKey{e.Task, e.Attempt})
-	if t == nil || t.worker.ID != e.Worker.ID {
+	switch {
+	case t == nil:
 		return
-	}
-	if e.Stop {
+	case e.Stop:
 		p.handleStopAnswered(t, e)
 		return
+	case e.Worker != t.sentTo:
+		return
 	}
 	t.openStarts, t.startCallEndedAt = t.openStarts-1, max(p.now, t.startCallEndedAt)
 	if e.Verdict == VerdictUnknown {
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -119,7 +119,7 @@
 
 func (p *Planner) addWorker(now clock.Millis, announced flow.Worker) {
 	old := p.workers[announced.ID]
-	if old != nil && old.StartedAt == announced.StartedAt {
+	if old != nil && old.Incarnation() == announced.Incarnation() {
 		wasLeaving, capacity := old.Leaving, old.Capacity
 		old.Worker = announced
 		if announced.Capacity != capacity {
@@ -181,13 +181,13 @@
 	p.logEvent(LogEvent{Event: "worker lost", Worker: w.Incarnation(), Known: w.knownState(p.now), Cause: cause})
 }
 
-func (p *Planner) removeWorker(id model.WorkerID, startedAt clock.Millis) {
-	w := p.workers[id]
-	if w == nil || w.StartedAt != startedAt {
+func (p *Planner) removeWorker(incarnation flow.Incarnation) {
+	w := p.workers[incarnation.ID]
+	if w == nil || w.Incarnation() != incarnation {
 		return
 	}
 	p.markWorkerLost(w, "worker was dismissed")
-	delete(p.workers, id)
+	delete(p.workers, w.ID)
 	if p.workersByAddress[w.Address] == w {
 		delete(p.workersByAddress, w.Address)
 	}
@@ -196,7 +196,7 @@
 
 func (p *Planner) findWorker(incarnation flow.Incarnation) *worker {
 	w := p.workers[incarnation.ID]
-	if w == nil || w.StartedAt != incarnation.StartedAt || w.lost {
+	if w == nil || w.Incarnation() != incarnation || w.lost {
 		return nil
 	}
 	return w
