platform, core/flow, core/plan: a process whose start is not known is not called

What callers could see: a worker that doesn't tell when its process started can't be told from the process before or after it.

Its tasks count as over after the longest lease, since its calls were not checked, or are stopped first once it announces its start; "worker not called" is logged.

Tests: TestProcessOfUnknownStartIsNotCalled, TestTasksOfWorkerOfUnknownStart and the new rows of TestMalformedHeartbeatsAreRefused fail before.

--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -14,7 +14,7 @@
 type Worker struct {
 	_         struct{} `cbor:",toarray"`
 	ID        model.WorkerID
-	StartedAt clock.Millis // start of this incarnation, since 1970; 0 if unknown
+	StartedAt clock.Millis // start of this incarnation, since 1970
 	Pool      string
 	// Address is the network address for orders.
 	Address  string
@@ -34,6 +34,15 @@
 	StartedAt clock.Millis // since 1970
 }
 
+// IsKnown reports whether the start is known. Without it, the process can't be told from others of its worker. Check refuses
+// such announcements, but earlier versions stored them.
+func (i Incarnation) IsKnown() bool { return i.StartedAt > 0 }
+
+// IsLaterThan reports whether the incarnation is one of the same worker that started later.
+func (i Incarnation) IsLaterThan(other Incarnation) bool {
+	return i.ID == other.ID && i.StartedAt > other.StartedAt
+}
+
 // Incarnation returns the incarnation that the description is of.
 func (w Worker) Incarnation() Incarnation { return Incarnation{ID: w.ID, StartedAt: w.StartedAt} }
 
@@ -88,8 +97,8 @@
 		return fault.Wrap(fault.ErrInvalid, "worker %s: address %.60q is not an IP address and a port from 1 to %d", w.ID, w.Address, math.MaxUint16)
 	case c.CPU < 0 || c.CPU > maxMillicores || c.Memory < 0 || c.Memory > maxMebibytes || c.Accel < 0 || c.Accel > maxAccels:
 		return fault.Wrap(fault.ErrInvalid, "worker %s: capacity %s is negative or above %s", w.ID, c, model.Size{CPU: maxMillicores, Memory: maxMebibytes, Accel: maxAccels})
-	case w.StartedAt < 0 || w.StartedAt > now+maxStartLead:
-		return fault.Wrap(fault.ErrInvalid, "worker %s: start %d is negative or more than %s after %d", w.ID, int64(w.StartedAt), maxStartLead, int64(now))
+	case w.StartedAt <= 0 || w.StartedAt > now+maxStartLead:
+		return fault.Wrap(fault.ErrInvalid, "worker %s: start %d is not positive or more than %s after %d", w.ID, int64(w.StartedAt), maxStartLead, int64(now))
 	case w.Seq > maxSeq:
 		return fault.Wrap(fault.ErrInvalid, "worker %s: sequence number %d is above %d", w.ID, w.Seq, uint64(maxSeq))
 	case len(w.Labels) > maxLabels:
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -144,6 +144,9 @@
 
 func (p *Planner) sendStop(t *task) {
 	t.stopSentAt = p.now
+	if !t.worker.Incarnation().IsKnown() {
+		return // its lease ends the attempt
+	}
 	p.decisions = append(p.decisions, Stop{Worker: t.worker.Worker, Task: t.name, Attempt: t.attempt, Reason: t.stopReason})
 }
 
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -142,12 +142,20 @@
 	if announced.HasLeft() {
 		w.leftAt = now
 	}
+	if !w.Incarnation().IsKnown() {
+		// An earlier version called it unchecked, so that its lease may be that of a call for another process.
+		w.priorLeaseEnd = now + maxStartCallTime + p.cfg.MaxLease*(100+2*maxDriftPercent)/100
+	}
 	p.workers[announced.ID] = w
 	p.workersByID, p.workersByCapacityGain = nil, nil
 	if old != nil {
 		p.moveToNextProcess(old, w)
 	}
-	p.decisions = append(p.decisions, WatchWorker{Worker: w.Incarnation()})
+	if w.Incarnation().IsKnown() {
+		p.decisions = append(p.decisions, WatchWorker{Worker: w.Incarnation()})
+	} else {
+		p.logEvent(LogEvent{Event: "worker not called", Worker: w.Incarnation(), Cause: "its start is not known"})
+	}
 	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: w.Incarnation(), Cause: announced.Capacity.String()})
 }
 
--- a/vbridged/fleet/ports.go
+++ b/vbridged/fleet/ports.go
@@ -20,8 +20,8 @@
 
 // Workers sends orders to workers.
 //
-// No call reaches another process than the one that the identifier and the start of its worker name, unless that process never
-// tells when it started. A later one would take the lease for a time on its own clock, and the acknowledged ends for its own.
+// No call reaches another process than the one that the identifier and the start of its worker name: calls to a worker whose start
+// is not known, or that doesn't tell it, fail. A later process would take the lease for a time on its own clock, and the acknowledged ends for its own.
 type Workers interface {
 	// Start returns what is known about the outcome of the order, and the time of the worker's clock
 	// if the worker answered. VerdictNotSent means that not a byte of it was sent.
