--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -144,6 +144,9 @@
 
 func (p *Planner) sendStop(t *task) {
 	t.stopSentAt = p.now
+	if !t.worker.Incarnation().IsKnown() {
+		return // its lease ends the attempt
+	}
 	p.decisions = append(p.decisions, Stop{Worker: t.worker.Worker, Task: t.name, Attempt: t.attempt, Reason: t.stopReason})
 }
 
@@ -178,7 +181,7 @@
 			continue
 		}
 		w := t.worker
-		if _, record := t.step.job.FindTask(t.name); record == nil || !record.Assigned || record.Attempt != t.attempt || record.Worker != w.ID {
+		if _, record := t.step.job.FindTask(t.name); record == nil || !record.Assigned || record.Attempt != t.attempt || record.Incarnation() != w.Incarnation() {
 			// The job ended before the assignment was committed, so the state didn't record it.
 			t.releaseCharge()
 			p.noteCapacityGain(w)
@@ -219,12 +222,14 @@
 // handleOrderAnswered handles the answer to an order.
 func (p *Planner) handleOrderAnswered(e OrderAnswered) {
 	t := p.findAttempt(attemptKey{e.Task, e.Attempt})
-	if t == nil || t.worker.ID != e.Worker.ID {
+	switch {
+	case t == nil:
 		return
-	}
-	if e.Stop {
+	case e.Stop:
 		p.handleStopAnswered(t, e)
 		return
+	case e.Worker != t.sentTo:
+		return
 	}
 	t.openStarts, t.startCallEndedAt = t.openStarts-1, max(p.now, t.startCallEndedAt)
 	if e.Verdict == VerdictUnknown {
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -119,7 +119,7 @@
 
 func (p *Planner) addWorker(now clock.Millis, announced flow.Worker) {
 	old := p.workers[announced.ID]
-	if old != nil && old.StartedAt == announced.StartedAt {
+	if old != nil && old.Incarnation() == announced.Incarnation() {
 		wasLeaving, capacity := old.Leaving, old.Capacity
 		old.Worker = announced
 		if announced.Capacity != capacity {
@@ -142,12 +142,20 @@
 	if announced.HasLeft() {
 		w.leftAt = now
 	}
+	if !w.Incarnation().IsKnown() {
+		// An earlier version called it unchecked, so that its lease may be that of a call for another process.
+		w.priorLeaseEnd = now + maxStartCallTime + p.cfg.MaxLease*(100+2*maxDriftPercent)/100
+	}
 	p.workers[announced.ID] = w
 	p.workersByID, p.workersByCapacityGain = nil, nil
 	if old != nil {
 		p.moveToNextProcess(old, w)
 	}
-	p.decisions = append(p.decisions, WatchWorker{Worker: w.Incarnation()})
+	if w.Incarnation().IsKnown() {
+		p.decisions = append(p.decisions, WatchWorker{Worker: w.Incarnation()})
+	} else {
+		p.logEvent(LogEvent{Event: "worker not called", Worker: w.Incarnation(), Cause: "its start is not known"})
+	}
 	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: w.Incarnation(), Cause: announced.Capacity.String()})
 }
 
@@ -181,13 +189,13 @@
 	p.logEvent(LogEvent{Event: "worker lost", Worker: w.Incarnation(), Known: w.knownState(p.now), Cause: cause})
 }
 
-func (p *Planner) removeWorker(id model.WorkerID, startedAt clock.Millis) {
-	w := p.workers[id]
-	if w == nil || w.StartedAt != startedAt {
+func (p *Planner) removeWorker(incarnation flow.Incarnation) {
+	w := p.workers[incarnation.ID]
+	if w == nil || w.Incarnation() != incarnation {
 		return
 	}
 	p.markWorkerLost(w, "worker was dismissed")
-	delete(p.workers, id)
+	delete(p.workers, w.ID)
 	if p.workersByAddress[w.Address] == w {
 		delete(p.workersByAddress, w.Address)
 	}
@@ -196,7 +204,7 @@
 
 func (p *Planner) findWorker(incarnation flow.Incarnation) *worker {
 	w := p.workers[incarnation.ID]
-	if w == nil || w.StartedAt != incarnation.StartedAt || w.lost {
+	if w == nil || w.Incarnation() != incarnation || w.lost {
 		return nil
 	}
 	return w
