core/outbox, vbridged/fleet: orders for a process that has ended no longer hold up those for the next one

What operators could see: after a worker has started again, the stop of an attempt in the new process, and its first starts, waited for the answer of orders that were meant for the process before, 600 ms for one that is gone.

Cause: the outbox kept its lanes by identifier, and sends one order at a time to a worker in large fleets.

Change: lanes are kept by incarnation.

Tests: TestOrdersForEarlierProcessHoldUpNoLaterOnes fails with lanes looked up by identifier. The workers of TestOrdersAreSentOnceWithinTheBudget start again now.

The delay of stops was not measured.

--- a/core/outbox/outbox.go
+++ b/core/outbox/outbox.go
@@ -4,12 +4,13 @@
 	"slices"
 
 	"vanillabridge/core/clock"
+	"vanillabridge/core/flow"
 	"vanillabridge/core/model"
 )
 
-// Order is an order for a worker. Its payload is opaque to the outbox.
+// Order is an order for one process of a worker. Its payload is opaque to the outbox.
 type Order[P any] struct {
-	Worker model.WorkerID
+	Worker flow.Incarnation
 	// Key identifies what the order is about. An urgent order withdraws the waiting orders with its key.
 	Key string
 	// Urgent orders are sent before the others of their worker: stops free capacity that starts need.
@@ -26,15 +27,17 @@
 	maxInProgress int
 	maxPerWorker  int
 	inProgress    int
-	lanes         map[model.WorkerID]*lane[P]
-	// ready holds the workers with a waiting order that may be sent, those that wait longest first.
-	ready   []model.WorkerID
+	lanes         map[model.WorkerID][]*lane[P] // one for each process with orders
+	// ready holds the lanes with a waiting order that may be sent, those that wait longest first.
+	ready   []*lane[P]
 	waiting int
 	unsent  []Order[P] // expired or withdrawn since the last call of TakeUnsent
 }
 
-// lane holds the orders of one worker.
+// lane holds the orders for one process of a worker. Those for an earlier process, which may get no answer any more, don't
+// hold it up.
 type lane[P any] struct {
+	worker         flow.Incarnation
 	urgent, normal []Order[P]
 	inProgress     int
 	queued         bool // listed in Outbox.ready
@@ -42,7 +45,7 @@
 
 // New returns an outbox that has at most maxInProgress orders in progress, and one for each worker.
 func New[P any](maxInProgress int) *Outbox[P] {
-	return &Outbox[P]{maxInProgress: max(maxInProgress, 1), maxPerWorker: 1, lanes: map[model.WorkerID]*lane[P]{}}
+	return &Outbox[P]{maxInProgress: max(maxInProgress, 1), maxPerWorker: 1, lanes: map[model.WorkerID][]*lane[P]{}}
 }
 
 // SetMaxPerWorker sets the number of orders for one worker that may be in progress at a time, at least 1.
@@ -57,12 +60,28 @@
 // InProgress returns the number of orders that were sent and are not finished.
 func (o *Outbox[P]) InProgress() int { return o.inProgress }
 
-// Add adds an order.
+// lane returns the lane of a process, or nil.
+func (o *Outbox[P]) lane(worker flow.Incarnation) *lane[P] {
+	for _, l := range o.lanes[worker.ID] {
+		if l.worker == worker {
+			return l
+		}
+	}
+	return nil
+}
+
+// Add adds an order. It withdraws those that wait for an earlier process of the worker, which has ended.
 func (o *Outbox[P]) Add(order Order[P]) {
-	l := o.lanes[order.Worker]
+	for _, other := range o.lanes[order.Worker.ID] {
+		if order.Worker.IsLaterThan(other.worker) {
+			other.urgent = o.withdraw(other.urgent, func(Order[P]) bool { return true })
+			other.normal = o.withdraw(other.normal, func(Order[P]) bool { return true })
+		}
+	}
+	l := o.lane(order.Worker)
 	if l == nil {
-		l = &lane[P]{}
-		o.lanes[order.Worker] = l
+		l = &lane[P]{worker: order.Worker}
+		o.lanes[order.Worker.ID] = append(o.lanes[order.Worker.ID], l)
 	}
 	if order.Urgent {
 		l.normal = o.withdraw(l.normal, func(other Order[P]) bool { return other.Key == order.Key })
@@ -73,20 +92,19 @@
 		l.normal = append(l.normal, order)
 	}
 	o.waiting++
-	o.enqueue(order.Worker, l)
+	o.enqueue(l)
 }
 
 // Next returns the next order to send, and marks it as in progress until Finish is called. It reports
 // false if no order may be sent now.
 func (o *Outbox[P]) Next(now clock.Millis) (Order[P], bool) {
 	for len(o.ready) > 0 && o.inProgress < o.maxInProgress {
-		id := o.ready[0]
+		l := o.ready[0]
 		o.ready = o.ready[1:]
-		l := o.lanes[id]
 		l.queued = false
 		o.expireLane(now, l)
 		if l.isEmpty() {
-			o.discardIdle(id, l)
+			o.discardIdle(l)
 			continue
 		}
 		l.inProgress++
@@ -94,38 +112,43 @@
 		o.waiting--
 		order := l.pop()
 		order.Beside = l.inProgress - 1
-		o.enqueue(id, l)
+		o.enqueue(l)
 		return order, true
 	}
 	return Order[P]{}, false
 }
 
-// Finish ends an order in progress of a worker.
-func (o *Outbox[P]) Finish(id model.WorkerID) {
-	l := o.lanes[id]
+// Finish ends an order in progress for a process of a worker.
+func (o *Outbox[P]) Finish(worker flow.Incarnation) {
+	l := o.lane(worker)
 	if l == nil || l.inProgress == 0 {
 		return
 	}
 	l.inProgress--
 	o.inProgress--
-	o.discardIdle(id, l)
-	o.enqueue(id, l)
+	o.discardIdle(l)
+	o.enqueue(l)
 }
 
 // discardIdle forgets a lane without orders.
-func (o *Outbox[P]) discardIdle(id model.WorkerID, l *lane[P]) {
-	if l.isEmpty() && l.inProgress == 0 && !l.queued {
+func (o *Outbox[P]) discardIdle(l *lane[P]) {
+	if !l.isEmpty() || l.inProgress > 0 || l.queued {
+		return
+	}
+	id := l.worker.ID
+	o.lanes[id] = slices.DeleteFunc(o.lanes[id], func(other *lane[P]) bool { return other == l })
+	if len(o.lanes[id]) == 0 {
 		delete(o.lanes, id)
 	}
 }
 
 // enqueue lists a lane as ready if it has a waiting order that may be sent and is not listed already.
-func (o *Outbox[P]) enqueue(id model.WorkerID, l *lane[P]) {
+func (o *Outbox[P]) enqueue(l *lane[P]) {
 	if l.isEmpty() || l.inProgress >= o.maxPerWorker || l.queued {
 		return
 	}
 	l.queued = true
-	o.ready = append(o.ready, id)
+	o.ready = append(o.ready, l)
 }
 
 // Expire withdraws all orders that have waited too long.
@@ -133,8 +156,10 @@
 	if o.waiting == 0 {
 		return
 	}
-	for _, l := range o.lanes {
-		o.expireLane(now, l)
+	for _, list := range o.lanes {
+		for _, l := range list {
+			o.expireLane(now, l)
+		}
 	}
 }
 
--- a/core/outbox/outbox_test.go
+++ b/core/outbox/outbox_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"vanillabridge/core/clock"
+	"vanillabridge/core/flow"
 	"vanillabridge/core/model"
 	"vanillabridge/core/outbox"
 )
@@ -35,19 +36,43 @@
 	return out
 }
 
+// process returns the first process of a worker.
+func process(id model.WorkerID) flow.Incarnation { return flow.Incarnation{ID: id, StartedAt: 1} }
+
+// Guards against orders for a worker that has started again that wait for the answer of its earlier process, or behind
+// orders for it, and against these being sent all the same.
+func TestOrdersForEarlierProcessHoldUpNoLaterOnes(t *testing.T) {
+	o := outbox.New[int](10)
+	earlier := process("a")
+	o.Add(order{Worker: earlier, Key: "1", SendBefore: 1000, Payload: 1})
+	drain(o, 0) // the earlier process doesn't answer this one
+	o.Add(order{Worker: earlier, Key: "2", SendBefore: 1000, Payload: 2})
+	o.Add(order{Worker: flow.Incarnation{ID: "a", StartedAt: 2}, Key: "1", Urgent: true, SendBefore: 1000, Payload: 3})
+	if diff := cmp.Diff([]int{3}, drain(o, 100)); diff != "" {
+		t.Errorf("sent while an order for the earlier process has no answer (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{2}, payloads(o.TakeUnsent())); diff != "" {
+		t.Errorf("withdrawn since the later process is known (-want +got):\n%s", diff)
+	}
+	o.Finish(earlier)
+	if n := o.InProgress(); n != 1 {
+		t.Errorf("%d orders in progress after the answer of the earlier process, want 1", n)
+	}
+}
+
 // Guards against orders to one worker that overtake each other on several connections: they are sent
 // one at a time, stops first.
 func TestOrdersOfOneWorkerAreSentInSequence(t *testing.T) {
 	o := outbox.New[int](10)
-	o.Add(order{Worker: "a", Key: "1", SendBefore: 100, Payload: 1})
-	o.Add(order{Worker: "a", Key: "2", SendBefore: 100, Payload: 2})
-	o.Add(order{Worker: "b", Key: "3", SendBefore: 100, Payload: 3})
-	o.Add(order{Worker: "a", Key: "4", Urgent: true, SendBefore: 100, Payload: 4})
+	o.Add(order{Worker: process("a"), Key: "1", SendBefore: 100, Payload: 1})
+	o.Add(order{Worker: process("a"), Key: "2", SendBefore: 100, Payload: 2})
+	o.Add(order{Worker: process("b"), Key: "3", SendBefore: 100, Payload: 3})
+	o.Add(order{Worker: process("a"), Key: "4", Urgent: true, SendBefore: 100, Payload: 4})
 	var got [][]int
 	for range 4 {
 		got = append(got, drain(o, 0))
-		o.Finish("a")
-		o.Finish("b")
+		o.Finish(process("a"))
+		o.Finish(process("b"))
 	}
 	if diff := cmp.Diff([][]int{{4, 3}, {1}, {2}, nil}, got); diff != "" {
 		t.Errorf("orders sent, by round (-want +got):\n%s", diff)
@@ -58,11 +83,11 @@
 // silent worker holds up until they are useless: both are certain not to have been sent.
 func TestStoppedAndExpiredOrdersAreNotSent(t *testing.T) {
 	o := outbox.New[int](10)
-	o.Add(order{Worker: "a", Key: "1", SendBefore: 1000, Payload: 1})
+	o.Add(order{Worker: process("a"), Key: "1", SendBefore: 1000, Payload: 1})
 	drain(o, 0) // the worker doesn't answer this one
-	o.Add(order{Worker: "a", Key: "2", SendBefore: 500, Payload: 2})
-	o.Add(order{Worker: "a", Key: "3", SendBefore: 1000, Payload: 3})
-	o.Add(order{Worker: "a", Key: "3", Urgent: true, SendBefore: 1000, Payload: 4})
+	o.Add(order{Worker: process("a"), Key: "2", SendBefore: 500, Payload: 2})
+	o.Add(order{Worker: process("a"), Key: "3", SendBefore: 1000, Payload: 3})
+	o.Add(order{Worker: process("a"), Key: "3", Urgent: true, SendBefore: 1000, Payload: 4})
 	if diff := cmp.Diff([]int{3}, payloads(o.TakeUnsent())); diff != "" {
 		t.Errorf("withdrawn by the stop (-want +got):\n%s", diff)
 	}
@@ -70,7 +95,7 @@
 	if diff := cmp.Diff([]int{2}, payloads(o.TakeUnsent())); diff != "" {
 		t.Errorf("expired (-want +got):\n%s", diff)
 	}
-	o.Finish("a")
+	o.Finish(process("a"))
 	if diff := cmp.Diff([]int{4}, drain(o, 600)); diff != "" {
 		t.Errorf("sent after the answer (-want +got):\n%s", diff)
 	}
@@ -85,10 +110,10 @@
 		o := outbox.New[int](budget.Orders)
 		perWorker := rapid.IntRange(1, 3).Draw(rt, "orders per worker")
 		o.SetMaxPerWorker(perWorker)
-		inProgress := map[model.WorkerID]int{}
-		const ttl = 1500
+		inProgress := map[flow.Incarnation]int{}
+		const ttl, restartPeriod = 1500, 1000
 		silent := rapid.IntRange(0, 300).Draw(rt, "silent")
-		answersAt := map[clock.Millis][]model.WorkerID{}
+		answersAt := map[clock.Millis][]flow.Incarnation{}
 		outcome := map[int]string{}
 		added := 0
 		var last order
@@ -106,7 +131,8 @@
 			if now < 4000 {
 				for range perTick {
 					added++
-					x := order{Worker: model.WorkerID(fmt.Sprint(rng.IntN(1100))), Key: fmt.Sprint(added), SendBefore: now + ttl, Payload: added}
+					x := order{Worker: process(model.WorkerID(fmt.Sprint(rng.IntN(1100)))), Key: fmt.Sprint(added), SendBefore: now + ttl, Payload: added}
+					x.Worker.StartedAt += now / restartPeriod
 					if added%10 == 0 { // a stop of the start before
 						x.Worker, x.Key, x.Urgent = last.Worker, last.Key, true
 					}
@@ -127,13 +153,13 @@
 				}
 				settle([]order{next}, "sent")
 				if inProgress[next.Worker]++; inProgress[next.Worker] > perWorker {
-					rt.Fatalf("%d orders for worker %s are in progress, want at most %d", inProgress[next.Worker], next.Worker, perWorker)
+					rt.Fatalf("%d orders for worker %v are in progress, want at most %d", inProgress[next.Worker], next.Worker, perWorker)
 				}
 				if now >= next.SendBefore {
 					rt.Fatalf("order %d is sent %d ms too late", next.Payload, now-next.SendBefore)
 				}
 				takes := clock.Millis(60)
-				if n, err := strconv.Atoi(string(next.Worker)); err != nil || n < silent {
+				if n, err := strconv.Atoi(string(next.Worker.ID)); err != nil || n < silent {
 					takes = 600
 				}
 				answersAt[now+takes] = append(answersAt[now+takes], next.Worker)
--- a/vbridged/fleet/orders.go
+++ b/vbridged/fleet/orders.go
@@ -9,7 +9,6 @@
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
-	"vanillabridge/core/model"
 	"vanillabridge/core/outbox"
 	"vanillabridge/core/plan"
 )
@@ -22,9 +21,9 @@
 )
 
 // queueOrder adds a start or stop order to the outbox of the session.
-func queueOrder(s *session, id model.WorkerID, task flow.Task, attempt int, sendBefore clock.Millis, urgent bool, order plan.Decision) {
+func queueOrder(s *session, worker flow.Incarnation, task flow.Task, attempt int, sendBefore clock.Millis, urgent bool, order plan.Decision) {
 	s.orders.Add(outbox.Order[plan.Decision]{
-		Worker: id, Key: task.String() + "#" + strconv.Itoa(attempt), Urgent: urgent, SendBefore: sendBefore, Payload: order,
+		Worker: worker, Key: task.String() + "#" + strconv.Itoa(attempt), Urgent: urgent, SendBefore: sendBefore, Payload: order,
 	})
 }
 
@@ -85,19 +84,19 @@
 	start := time.Now()
 	var verdict plan.Verdict
 	var workerClock clock.Millis
-	var id model.WorkerID
+	var worker flow.Incarnation
 	switch x := order.(type) {
 	case plan.Start:
 		verdict, workerClock = s.workers.Start(ctx, call, x)
-		id = x.Worker.ID
+		worker = x.Worker.Incarnation()
 	case plan.Stop:
 		verdict, workerClock = s.workers.Stop(ctx, call, x)
-		id = x.Worker.ID
+		worker = x.Worker.Incarnation()
 	}
 	answer := d.orderAnswer(s, order, verdict, workerClock, time.Since(start))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s.orders.Finish(id)
+	s.orders.Finish(worker)
 	if d.session == s {
 		d.executeDecisions(s, s.planner.Step(d.now(), answer))
 	}
--- a/vbridged/fleet/orders_test.go
+++ b/vbridged/fleet/orders_test.go
@@ -67,7 +67,7 @@
 	}
 	c.now = 7000 // the process was paused
 	task := flow.Task{Job: "j"}
-	queueOrder(s, w.ID, task, 1, c.now+startSendTimeout, false, plan.Start{Worker: w, Task: task, Attempt: 1})
+	queueOrder(s, w.Incarnation(), task, 1, c.now+startSendTimeout, false, plan.Start{Worker: w, Task: task, Attempt: 1})
 	act()
 	select {
 	case call := <-r.calls:
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -26,9 +26,9 @@
 		case plan.Propose:
 			d.propose(s, x.Command)
 		case plan.Start:
-			queueOrder(s, x.Worker.ID, x.Task, x.Attempt, d.now()+startSendTimeout, false, x)
+			queueOrder(s, x.Worker.Incarnation(), x.Task, x.Attempt, d.now()+startSendTimeout, false, x)
 		case plan.Stop:
-			queueOrder(s, x.Worker.ID, x.Task, x.Attempt, d.now()+stopSendTimeout, true, x)
+			queueOrder(s, x.Worker.Incarnation(), x.Task, x.Attempt, d.now()+stopSendTimeout, true, x)
 		case plan.TicketRequest:
 			go d.requestTickets(s, x)
 		case plan.WatchWorker:
