vbridged/fleet: what leader and relays remember of a worker is kept by process

The last reports that leader and relay remember, the troubles of a relay with a worker and the turns of its orders were kept by identifier, so that a process that had just started took over those of the one before: it was called past its relay for what the other had not answered, and its orders waited for the other's turn. They are kept by incarnation now, and forgotten once the state has another process of the worker. Announcements are compared with whole incarnations.

Test: the new row of TestVerdictsOfOrdersThroughRelays fails with turns kept by identifier.

--- a/vbridged/fleet/carrier.go
+++ b/vbridged/fleet/carrier.go
@@ -11,6 +11,7 @@
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
+	"vanillabridge/core/flow"
 	"vanillabridge/core/model"
 	"vanillabridge/core/outbox"
 	"vanillabridge/core/plan"
@@ -55,7 +56,7 @@
 	inHand     int
 	answers    []carriedAnswer // of the permit's term
 	lastReport uint64
-	memories   map[model.WorkerID]relay.Memory
+	memories   map[flow.Incarnation]relay.Memory
 }
 
 func newCarrier(o Options, report func(context.Context, model.Instance, relayReport) (relayReply, error), leader func() (model.Instance, uint64)) *carrier {
@@ -64,7 +65,7 @@
 		clock: o.Clock, workers: o.Workers, budget: b, report: report, leader: leader,
 		holds: make(chan struct{}, b.Holds), orders: make(chan struct{}, b.Orders), lanes: newLanes(), wake: make(chan struct{}, 1),
 		// Numbers of reports begin at the time, so that those of an earlier process are lower.
-		lastReport: uint64(unixNow()), memories: map[model.WorkerID]relay.Memory{},
+		lastReport: uint64(unixNow()), memories: map[flow.Incarnation]relay.Memory{},
 	}
 }
 
@@ -111,10 +112,10 @@
 	answer := carriedAnswer{Number: call.Number, Verdict: plan.VerdictNotSent}
 	defer func() { c.addAnswer(term, answer, call.Class) }()
 	if call.Class != relay.ClassHold {
-		if !c.lanes.enter(ctx, call.Worker) {
+		if !c.lanes.enter(ctx, call.incarnation()) {
 			return
 		}
-		defer c.lanes.leave(call.Worker)
+		defer c.lanes.leave(call.incarnation())
 	}
 	select {
 	case slots <- struct{}{}:
@@ -138,7 +139,7 @@
 }
 
 func (c *carrier) makeCall(ctx context.Context, term uint64, call carriedCall) carriedAnswer {
-	conditions := Call{Fence: term, CloseConn: call.CloseConn || (call.CloseLast && c.lanes.isLast(call.Worker))}
+	conditions := Call{Fence: term, CloseConn: call.CloseConn || (call.CloseLast && c.lanes.isLast(call.incarnation()))}
 	answer := carriedAnswer{Number: call.Number}
 	switch call.Class {
 	case relay.ClassStart:
@@ -154,11 +155,11 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.lastReport++
-		delta, memory := c.memories[call.Worker].Encode(c.clock.Now(), c.lastReport, call.Base, report)
+		delta, memory := c.memories[call.incarnation()].Encode(c.clock.Now(), c.lastReport, call.Base, report)
 		if len(c.memories) > relay.MaxWaiting {
-			clear(c.memories) // workers that are gone; reports list all once more
+			clear(c.memories) // processes that are gone; reports list all once more
 		}
-		c.memories[call.Worker] = memory
+		c.memories[call.incarnation()] = memory
 		answer.Report = &delta
 	}
 	return answer
@@ -260,7 +261,7 @@
 	before := c.permit.Term()
 	c.permit = c.permit.Extend(reply.Term, now, reply.Remaining)
 	if c.permit.Term() != before {
-		c.answers, c.memories = nil, map[model.WorkerID]relay.Memory{}
+		c.answers, c.memories = nil, map[flow.Incarnation]relay.Memory{}
 		klog.InfoS("relay serves a leader", "leader", leader, "term", reply.Term, "needed", reply.Needed)
 	}
 	if reply.Needed && !r.HasPermit {
--- a/vbridged/fleet/late.go
+++ b/vbridged/fleet/late.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
 	"vanillabridge/core/model"
 )
@@ -12,17 +11,17 @@
 
 // announcementID identifies an announcement of an incarnation of a worker.
 type announcementID struct {
-	startedAt clock.Millis
-	seq       uint64
+	worker flow.Incarnation
+	seq    uint64
 }
 
 // isLate records an announcement, and reports whether a newer one of the worker has arrived before it.
 func (a announcements) isLate(w flow.Worker) bool {
 	newest, known := a[w.ID]
-	if known && (w.StartedAt < newest.startedAt || (w.StartedAt == newest.startedAt && w.Seq < newest.seq)) {
+	if known && (newest.worker.IsLaterThan(w.Incarnation()) || (newest.worker == w.Incarnation() && w.Seq < newest.seq)) {
 		return true
 	}
-	a[w.ID] = announcementID{w.StartedAt, w.Seq}
+	a[w.ID] = announcementID{w.Incarnation(), w.Seq}
 	return false
 }
 
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -71,7 +71,7 @@
 // or the session ends.
 func (d *Domain) sendHolds(s *session, incarnation flow.Incarnation) {
 	for {
-		way := s.relays.route(incarnation.ID)
+		way := s.relays.route(incarnation)
 		if way.wait {
 			sleep(s.ctx, leaderLeasePollInterval)
 			if s.ctx.Err() != nil {
--- a/vbridged/fleet/relaycall.go
+++ b/vbridged/fleet/relaycall.go
@@ -29,15 +29,15 @@
 }
 
 func (r *relays) order(ctx context.Context, w flow.Worker, class relay.Class, expires clock.Millis, order *carriedOrder, call Call, direct func(Call) (plan.Verdict, clock.Millis)) (plan.Verdict, clock.Millis) {
-	way := r.route(w.ID)
+	way := r.route(w.Incarnation())
 	call.CloseConn = call.CloseConn || way.closeConn
 	if way.link == nil {
 		if r.isActive() {
-			if !r.lanes.enter(ctx, w.ID) {
+			if !r.lanes.enter(ctx, w.Incarnation()) {
 				return plan.VerdictNotSent, 0
 			}
-			defer r.lanes.leave(w.ID)
-			call.CloseConn = call.CloseConn || (way.closeOrders && r.lanes.isLast(w.ID))
+			defer r.lanes.leave(w.Incarnation())
+			call.CloseConn = call.CloseConn || (way.closeOrders && r.lanes.isLast(w.Incarnation()))
 		}
 		select {
 		case r.directOrders <- struct{}{}:
@@ -62,19 +62,19 @@
 // Hold sends a hold on the way of the worker's calls.
 func (r *relays) Hold(ctx context.Context, call Call, h plan.Hold) (plan.HoldAnswered, plan.Failure, error) {
 	w := h.Worker
-	way := r.route(w.ID)
+	way := r.route(w.Incarnation())
 	if call.way != nil {
 		way = *call.way
 	}
 	call.CloseConn = call.CloseConn || way.closeConn
 	if way.link == nil {
 		report, failure, err := r.direct.Hold(ctx, call, h)
-		r.noteDirectHold(w.ID, err == nil)
+		r.noteDirectHold(w.Incarnation(), err == nil)
 		return report, failure, err
 	}
 	c := carriedCall{
 		Class: relay.ClassHold, CloseConn: call.CloseConn, Timeout: h.MaxWait + holdReplyGrace, Worker: w.ID, StartedAt: w.StartedAt, Address: w.Address,
-		Expires: h.Expires, AckedThrough: h.AckedThrough, MaxWait: h.MaxWait, Base: r.baseOf(w.ID, way.link.name),
+		Expires: h.Expires, AckedThrough: h.AckedThrough, MaxWait: h.MaxWait, Base: r.baseOf(w.Incarnation(), way.link.name),
 	}
 	a, err := r.call(ctx, way.link, c)
 	switch {
@@ -84,62 +84,62 @@
 		a.Failure, a.Error = plan.FailureNoAnswer, "not sent by the relay"
 	}
 	if a.Failure == 0 {
-		if report, ok := r.decode(w.ID, way.link.name, *a.Report); ok {
+		if report, ok := r.decode(w.Incarnation(), way.link.name, *a.Report); ok {
 			return report, 0, nil
 		}
 		a.Failure, a.Error = plan.FailureNoAnswer, "report differs from an unknown one"
 	}
 	if err == nil && a.Verdict == 0 && a.Failure == plan.FailureNoAnswer {
-		r.noteRelayFailure(w.ID)
+		r.noteRelayFailure(w.Incarnation())
 	}
 	return plan.HoldAnswered{}, a.Failure, fault.Wrap(fault.ErrUnknown, "hold of %s through %s: %s", w.ID, way.link.name, a.Error)
 }
 
-// baseOf returns the number of the last report of a worker that a relay has sent, or 0.
-func (r *relays) baseOf(id model.WorkerID, name model.Instance) uint64 {
+// baseOf returns the number of the last report of a process that a relay has sent, or 0.
+func (r *relays) baseOf(process flow.Incarnation, name model.Instance) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m := r.memories[id]; m.relay == name {
+	if m := r.memories[process]; m.relay == name {
 		return m.memory.Number()
 	}
 	return 0
 }
 
-func (r *relays) decode(id model.WorkerID, name model.Instance, d relay.Delta) (plan.HoldAnswered, bool) {
+func (r *relays) decode(process flow.Incarnation, name model.Instance, d relay.Delta) (plan.HoldAnswered, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := r.memories[id]
+	m := r.memories[process]
 	if m.relay != name {
 		m = reportMemory{relay: name}
 	}
 	report, memory, ok := m.memory.Decode(d)
 	if !ok {
-		delete(r.memories, id)
+		delete(r.memories, process)
 		return report, false
 	}
-	r.memories[id] = reportMemory{relay: name, memory: memory}
-	delete(r.troubles, id)
+	r.memories[process] = reportMemory{relay: name, memory: memory}
+	delete(r.troubles, process)
 	return report, true
 }
 
 // noteRelayFailure has the leader send the next hold itself, because the relay got no answer from the worker.
-func (r *relays) noteRelayFailure(id model.WorkerID) {
+func (r *relays) noteRelayFailure(process flow.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.troubles[id] = trouble{tryDirect: true}
+	r.troubles[process] = trouble{tryDirect: true}
 }
 
 // noteDirectHold keeps a worker that its relay did not reach with the leader for a while, if the leader reaches it.
-func (r *relays) noteDirectHold(id model.WorkerID, ok bool) {
+func (r *relays) noteDirectHold(process flow.Incarnation, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t, known := r.troubles[id]
+	t, known := r.troubles[process]
 	switch {
 	case !known || !t.tryDirect:
 		return
 	case ok:
-		r.troubles[id] = trouble{directUntil: r.clock.Now() + directTime}
+		r.troubles[process] = trouble{directUntil: r.clock.Now() + directTime}
 	default:
-		delete(r.troubles, id)
+		delete(r.troubles, process)
 	}
 }
--- a/vbridged/fleet/relays.go
+++ b/vbridged/fleet/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
@@ -68,17 +69,17 @@
 	homes           relay.Map // as if all cores were live
 	shares          map[model.Instance]int
 	lastNumber      uint64
-	memories        map[model.WorkerID]reportMemory
-	troubles        map[model.WorkerID]trouble
+	memories        map[flow.Incarnation]reportMemory
+	troubles        map[flow.Incarnation]trouble
 }
 
-// reportMemory is what the leader remembers of the last report that a relay sent of a worker.
+// reportMemory is what the leader remembers of the last report that a relay sent of a process.
 type reportMemory struct {
 	relay  model.Instance
 	memory relay.Memory
 }
 
-// trouble is kept for a worker whose relay got no answer to its last hold.
+// trouble is kept for a process whose relay got no answer to its last hold.
 type trouble struct {
 	// tryDirect is set until the leader has tried itself; directUntil is set if that succeeded.
 	tryDirect   bool
@@ -103,7 +104,7 @@
 		term: term, self: o.Self.Instance, clock: o.Clock, ctx: ctx, direct: o.Workers, budget: b, metrics: m, send: send,
 		directOrders: make(chan struct{}, b.Orders), lanes: newLanes(), startedAt: o.Clock.Now(), links: map[model.Instance]*relayLink{},
 		regions: map[model.Zone]model.Region{}, zones: map[model.WorkerID]model.Zone{}, shares: map[model.Instance]int{},
-		memories: map[model.WorkerID]reportMemory{}, troubles: map[model.WorkerID]trouble{},
+		memories: map[flow.Incarnation]reportMemory{}, troubles: map[flow.Incarnation]trouble{},
 	}
 }
 
@@ -181,12 +182,9 @@
 			r.shares[name]++
 		}
 	}
-	for id := range r.memories {
-		if _, known := r.zones[id]; !known {
-			delete(r.memories, id)
-			delete(r.troubles, id)
-		}
-	}
+	isGone := func(process flow.Incarnation) bool { return workers[process.ID].Incarnation() != process }
+	maps.DeleteFunc(r.memories, func(process flow.Incarnation, _ reportMemory) bool { return isGone(process) })
+	maps.DeleteFunc(r.troubles, func(process flow.Incarnation, _ trouble) bool { return isGone(process) })
 	r.metrics.setRelays(r.relayStats(now))
 }
 
@@ -216,15 +214,15 @@
 	klog.InfoS(event, "relay", l.name, "workers", r.shares[l.name], "calls", len(l.pending), "age", int64(now-l.heardAt), "term", r.term)
 }
 
-// route returns the way of the next call to a worker.
-func (r *relays) route(id model.WorkerID) route {
+// route returns the way of the next call to a process of a worker.
+func (r *relays) route(process flow.Incarnation) route {
 	if r == nil {
 		return route{}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	t := r.troubles[id]
+	id, t := process.ID, r.troubles[process]
 	if !r.active {
 		return route{}
 	}
--- a/vbridged/fleet/relays_test.go
+++ b/vbridged/fleet/relays_test.go
@@ -224,7 +224,10 @@
 		{"relay without permission", func(n *relayNet) { n.carriers["b"].permit = n.carriers["b"].permit.Extend(9, 0, 0) }, plan.VerdictNotSent, 0},
 		{"relay knows a newer term", func(n *relayNet) { n.term = 2 }, plan.VerdictNotSent, 0},
 		{"relay full", func(n *relayNet) { n.carriers["b"].inHand = 1 << 20 }, plan.VerdictNotSent, 0},
-		{"worker's turn does not come", func(n *relayNet) { n.carriers["b"].lanes.enter(context.Background(), "b0") }, plan.VerdictNotSent, 0},
+		{"worker's turn does not come", func(n *relayNet) { n.carriers["b"].lanes.enter(context.Background(), n.workers["b0"].Incarnation()) }, plan.VerdictNotSent, 0},
+		{"turn of another process of the worker does not come", func(n *relayNet) {
+			n.carriers["b"].lanes.enter(context.Background(), flow.Incarnation{ID: "b0", StartedAt: 2})
+		}, plan.VerdictDone, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/vbridged/fleet/relaywire.go
+++ b/vbridged/fleet/relaywire.go
@@ -66,6 +66,9 @@
 	return n
 }
 
+// incarnation returns the process that the call is meant for.
+func (c carriedCall) incarnation() flow.Incarnation { return c.worker().Incarnation() }
+
 func (c carriedCall) worker() flow.Worker {
 	return flow.Worker{ID: c.Worker, StartedAt: c.StartedAt, Address: c.Address}
 }
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -265,7 +265,7 @@
 	if c.Version == 0 || slices.ContainsFunc(c.Pools, func(p flow.Pool) bool { return p.Name == w.Pool }) {
 		return nil
 	}
-	if old, known := d.state.Workers()[w.ID]; known && old.StartedAt == w.StartedAt && old.Pool == w.Pool {
+	if old, known := d.state.Workers()[w.ID]; known && old.Incarnation() == w.Incarnation() && old.Pool == w.Pool {
 		return nil
 	}
 	return fault.Wrap(fault.ErrNotFound, "worker %s: pool %q is not one of the %d of configuration version %d", w.ID, w.Pool, len(c.Pools), c.Version)
@@ -274,10 +274,11 @@
 // isRedundantAnnouncement reports whether an announcement changes nothing. One that is out of order or
 // comes from an earlier incarnation of the worker is ignored and so counts as redundant.
 func isRedundantAnnouncement(old, w flow.Worker) bool {
-	if w.StartedAt < old.StartedAt || (w.StartedAt == old.StartedAt && w.Seq <= old.Seq) {
+	same := old.Incarnation() == w.Incarnation()
+	if old.Incarnation().IsLaterThan(w.Incarnation()) || (same && w.Seq <= old.Seq) {
 		return true
 	}
-	return old.StartedAt == w.StartedAt && old.Address == w.Address && old.Pool == w.Pool && old.Capacity == w.Capacity &&
+	return same && old.Address == w.Address && old.Pool == w.Pool && old.Capacity == w.Capacity &&
 		(old.Leaving || !w.Leaving)
 }
 
