--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -26,9 +26,9 @@
 		case plan.Propose:
 			d.propose(s, x.Command)
 		case plan.Start:
-			queueOrder(s, x.Worker.ID, x.Task, x.Attempt, d.now()+startSendTimeout, false, x)
+			queueOrder(s, x.Worker.Incarnation(), x.Task, x.Attempt, d.now()+startSendTimeout, false, x)
 		case plan.Stop:
-			queueOrder(s, x.Worker.ID, x.Task, x.Attempt, d.now()+stopSendTimeout, true, x)
+			queueOrder(s, x.Worker.Incarnation(), x.Task, x.Attempt, d.now()+stopSendTimeout, true, x)
 		case plan.TicketRequest:
 			go d.requestTickets(s, x)
 		case plan.WatchWorker:
@@ -71,7 +71,7 @@
 // or the session ends.
 func (d *Domain) sendHolds(s *session, incarnation flow.Incarnation) {
 	for {
-		way := s.relays.route(incarnation.ID)
+		way := s.relays.route(incarnation)
 		if way.wait {
 			sleep(s.ctx, leaderLeasePollInterval)
 			if s.ctx.Err() != nil {
