--- a/core/plan/unknownstart_test.go
+++ b/core/plan/unknownstart_test.go
@@ -23,7 +23,7 @@
 			sim.submit("/a/", "1", flow.Step{Count: 1, Need: smallTask, Estimate: 1000})
 			task := flow.Task{Job: "1"}
 			sim.apply(ledger.Assign{Placements: []ledger.Placement{{Task: task, Attempt: 1, Worker: f.ID, WorkerStartedAt: f.StartedAt}}})
-			sim.handleStart(0, plan.Start{Worker: f.Worker, Task: task, Attempt: 1, Expires: sim.clockOf(f) + maxLease})
+			sim.handleStart(0, plan.Start{Worker: f.Worker, Task: task, Attempt: 1, Expires: sim.clockOf(f) + maxLease}, f)
 			sim.startLeader()
 			sim.addWorker("w1", workerSize)
 			sim.run(3 * clock.Second)
@@ -32,7 +32,7 @@
 			}
 			wait := maxLease
 			if announces {
-				f.StartedAt, f.clockOffset = sim.now, f.clockOffset+sim.now
+				f.StartedAt = sim.now
 				sim.apply(ledger.RegisterWorker{Worker: f.Worker})
 				wait = 0
 			}
