vbridged/fleet: a restarted relay's reports have numbers of their own

A relay numbered its reports from the time of day at its start. If that was set back before it started again, numbers of the former process came again. A report is sent as the difference to the one whose number the leader names; if the present process had sent one of that number that was lost, the leader applied the difference to the former process's report. An attempt that runs was then not listed, and two such reports prove that it doesn't run (promise single).

Numbers begin at random in each process. The messages keep their form.

--- a/vbridged/fleet/carrier.go
+++ b/vbridged/fleet/carrier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -63,8 +64,8 @@
 	return &carrier{
 		clock: o.Clock, workers: o.Workers, budget: b, report: report, leader: leader,
 		holds: make(chan struct{}, b.Holds), orders: make(chan struct{}, b.Orders), lanes: newLanes(), wake: make(chan struct{}, 1),
-		// Numbers of reports begin at the time, so that those of an earlier process are lower.
-		lastReport: uint64(unixNow()), memories: map[model.WorkerID]relay.Memory{},
+		// Numbers of reports begin at random, so that none is one of an earlier process, whatever the time of day was then.
+		lastReport: rand.Uint64N(1 << 62), memories: map[model.WorkerID]relay.Memory{},
 	}
 }
 
