vbridged/fleet: the echo of a relay's clock is that of its present process

A batch carries the newest reading of the relay's clock that the leader has heard, so that a relay that was frozen doesn't carry out old batches. The leader kept the highest reading of the instance. A relay that started again after its clock was set back got readings of its former process, which lay ahead: until its clock had passed them no batch was too old for it, and it could carry out orders that the leader counted as over.

The leader now takes over the reading of a report without a permission, as a new process sends first, and one that is further back than a report can have been overtaken. An overtaken report changes nothing, as before. Ruled out: that relays reject readings ahead of their own, since a leader of an earlier version would go on sending them, and the relay's workers would get no orders.

--- a/vbridged/fleet/relaylink.go
+++ b/vbridged/fleet/relaylink.go
@@ -21,7 +21,7 @@
 	live     bool
 	conns    int
 	heardAt  clock.Millis
-	echo     clock.Millis
+	echo     clock.Millis // newest known reading of the clock of the relay's process
 	usableAt clock.Millis // after a loss
 	queue    relay.Queue[*pendingCall]
 	pending  map[uint64]*pendingCall // calls that wait or were sent
@@ -37,6 +37,15 @@
 	answer chan carriedAnswer
 }
 
+// noteClock takes over the reading of the relay's clock in a report, unless another report has overtaken it. A process that
+// has just started has no permission, and its clock may be behind that of the former one. A report that is overtaken is
+// at most reportTimeout older.
+func (l *relayLink) noteClock(r relayReport) {
+	if !r.HasPermit || r.Clock > l.echo || l.echo-r.Clock > reportTimeout {
+		l.echo = r.Clock
+	}
+}
+
 // outcomes of a call without an answer of a relay.
 var (
 	errCallNotSent    = errors.New("call not sent")
--- a/vbridged/fleet/relays.go
+++ b/vbridged/fleet/relays.go
@@ -255,13 +255,14 @@
 		r.links[from] = l
 		go r.sendBatches(l)
 	}
+	l.noteClock(report)
 	if report.Term != r.term || !report.HasPermit {
 		return r.active // its answers are those of another term
 	}
 	if l.usableAt == 0 || (!l.live && now-l.heardAt > relayTimeout) {
 		l.usableAt = now + relayReturnDelay
 	}
-	l.heardAt, l.echo, l.conns = now, max(l.echo, report.Clock), report.Conns
+	l.heardAt, l.conns = now, report.Conns
 	l.batches++
 	for _, a := range report.Answers {
 		l.finish(a.Number, a)
