core/plan, vbridged/fleet: tickets are requested for processes of workers, not for workers

A ticket is valid during one life of its worker. The planner kept tickets by process, but requests and answers named identifiers, and a rejected ticket was dropped for all processes under the identifier. Requests, answers and invalidateTicket name incarnations now; the call to the service and the one between cores still carry identifiers.

--- a/core/plan/ask.go
+++ b/core/plan/ask.go
@@ -20,7 +20,7 @@
 	nextCallAt      clock.Millis
 }
 
-// ticket is the answer of the ticket service for one worker.
+// ticket is the answer of the ticket service for one process of a worker.
 type ticket struct {
 	denied    bool // the worker may not run the step
 	token     string
@@ -155,7 +155,7 @@
 	call := &ticketCall{step: st, caller: c, expectedEnd: c.busyUntil, deadline: c.busyUntil + ticketCallTimeout}
 	call.request = TicketRequest{Task: st.name, Caller: c.name, Number: p.lastCallNumber, Reason: reason}
 	for _, w := range list {
-		call.request.Workers = append(call.request.Workers, w.ID)
+		call.request.Workers = append(call.request.Workers, w.Incarnation())
 		call.workers = append(call.workers, w)
 	}
 	p.ticketCalls[p.lastCallNumber] = call
@@ -201,7 +201,7 @@
 		ts.byWorker = make(map[*worker]ticket, len(call.workers))
 	}
 	for _, w := range call.workers {
-		token, ok := e.Tickets[w.ID]
+		token, ok := e.Tickets[w.Incarnation()]
 		if !ok {
 			ts.byWorker[w] = ticket{denied: true}
 			continue
@@ -253,11 +253,10 @@
 	return max(r, minApprovalRate)
 }
 
-func (st *step) invalidateTicket(id model.WorkerID) {
-	for _, w := range st.tickets.ticketed {
-		if w.ID == id {
-			st.tickets.byWorker[w] = ticket{}
-		}
+// invalidateTicket drops the ticket of a process.
+func (st *step) invalidateTicket(w *worker) {
+	if _, known := st.tickets.byWorker[w]; known {
+		st.tickets.byWorker[w] = ticket{}
 	}
 }
 
--- a/core/plan/decision.go
+++ b/core/plan/decision.go
@@ -37,8 +37,9 @@
 // TicketRequest requests tickets from the ticket service for workers to run tasks of a step.
 type TicketRequest struct {
 	// Task names the step; its Index is unused.
-	Task    flow.Task
-	Workers []model.WorkerID
+	Task flow.Task
+	// Workers holds the processes for which tickets are requested: a ticket is valid for one process.
+	Workers []flow.Incarnation
 	// Caller is the instance that makes the call.
 	Caller model.Instance
 	Number uint64 // identifies the call among those of the planner
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -113,8 +113,8 @@
 type TicketsAnswered struct {
 	Request TicketRequest
 	OK      bool
-	// Tickets holds the tickets of the workers that may run the step. Validity is how long they are valid.
-	Tickets  map[model.WorkerID]string
+	// Tickets holds the tickets of the processes of the request that may run the step. Validity is how long they are valid.
+	Tickets  map[flow.Incarnation]string
 	Validity clock.Millis
 }
 
--- a/core/plan/task.go
+++ b/core/plan/task.go
@@ -267,7 +267,7 @@
 func (p *Planner) handleRejectedStart(t *task, v Verdict) {
 	switch v {
 	case VerdictInvalidTicket:
-		t.step.invalidateTicket(t.worker.ID)
+		t.step.invalidateTicket(t.worker)
 	case VerdictUnhealthy, VerdictInvalid, VerdictNoCapacity:
 		p.recordFailure(t, "rejected a start")
 	case VerdictNotSent:
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -844,10 +844,10 @@
 func ticketOf(step string, id model.WorkerID) string { return step + "@" + string(id) }
 
 func (sim *simulation) answerTicketCall(term uint64, d plan.TicketRequest) {
-	a := plan.TicketsAnswered{Request: d, OK: true, Tickets: map[model.WorkerID]string{}, Validity: 2500}
-	for _, id := range d.Workers {
-		if sim.isPermitted(d.Task.StepName(), id) {
-			a.Tickets[id] = ticketOf(d.Task.StepName(), id)
+	a := plan.TicketsAnswered{Request: d, OK: true, Tickets: map[flow.Incarnation]string{}, Validity: 2500}
+	for _, process := range d.Workers {
+		if sim.isPermitted(d.Task.StepName(), process.ID) {
+			a.Tickets[process] = ticketOf(d.Task.StepName(), process.ID)
 		}
 	}
 	sim.step(term, a)
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -168,17 +168,33 @@
 	ctx, cancel := context.WithTimeout(s.ctx, adviseTimeout.Duration())
 	defer cancel()
 	start := time.Now()
+	ids := make([]model.WorkerID, len(call.Workers))
+	for i, process := range call.Workers {
+		ids[i] = process.ID
+	}
 	var a Advice
 	var err error
 	if call.Caller == d.options.Self.Instance {
-		a, err = d.options.Tickets.Advise(ctx, call.Task.StepName(), call.Workers)
+		a, err = d.options.Tickets.Advise(ctx, call.Task.StepName(), ids)
 	} else {
-		a, err = callCBOR[adviseRequest, Advice](ctx, d.network, call.Caller, methodAdvise, adviseRequest{Step: call.Task.StepName(), Workers: call.Workers})
+		a, err = callCBOR[adviseRequest, Advice](ctx, d.network, call.Caller, methodAdvise, adviseRequest{Step: call.Task.StepName(), Workers: ids})
 	}
 	d.metrics.observeTicketCall(err == nil, time.Since(start))
 	klog.InfoS("ticket call", "reason", call.Reason, "step", call.Task.StepName(), "job", call.Task.Job, "caller", call.Caller, "asked", len(call.Workers),
 		"approved", len(a.Tickets), "took", time.Since(start).Milliseconds(), "term", s.term, "error", errorText(err))
-	d.stepSession(s, plan.TicketsAnswered{Request: call, OK: err == nil, Tickets: a.Tickets, Validity: a.ValidFor})
+	d.stepSession(s, plan.TicketsAnswered{Request: call, OK: err == nil, Tickets: ticketsOf(call.Workers, a), Validity: a.ValidFor})
+}
+
+// ticketsOf returns the tickets of the processes of a request. The answer names workers only: a process that has started since is not
+// the one of the request, so that it gets none of them.
+func ticketsOf(processes []flow.Incarnation, a Advice) map[flow.Incarnation]string {
+	tickets := make(map[flow.Incarnation]string, len(a.Tickets))
+	for _, process := range processes {
+		if ticket, ok := a.Tickets[process.ID]; ok {
+			tickets[process] = ticket
+		}
+	}
+	return tickets
 }
 
 func errorText(err error) string {
