--- a/core/plan/network_test.go
+++ b/core/plan/network_test.go
@@ -293,7 +293,7 @@
 	sim.startTimes[flow.Incarnation{ID: model.WorkerID(id), StartedAt: startedAt}] = true
 	f := &fakeWorker{
 		Worker:  flow.Worker{ID: model.WorkerID(id), StartedAt: startedAt, Pool: "pool", Address: address, Capacity: size, Labels: labels, Seq: 1},
-		upSince: sim.now, alive: true, isNear: sim.addNearWorkers, attempts: map[string]*fakeAttempt{}, highestAttempt: map[flow.Task]int{}, lapsesAtSuccess: map[flow.Task]int{}, listedDone: map[flow.Task]bool{},
+		upSince: sim.now, alive: true, isNear: sim.addNearWorkers, attempts: map[string]*fakeAttempt{}, highestAttempt: map[flow.Task]int{}, lapsesAtSuccess: map[int64]int{}, listedDone: map[flow.Task]bool{},
 	}
 	// Clocks of processes have nothing to do with each other: any one may be far ahead of the others.
 	x := clock.Millis(sim.rng.Int64N(30_000_000))
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -163,10 +163,10 @@
 	ends               []plan.EndedAttempt
 	lastEndNumber      int64
 	highestAttempt     map[flow.Task]int
-	formerCapacity     model.Size        // before it shrank
-	shrunkAt           clock.Millis      // when the capacity shrank last, or 0
-	leaseLapses        int               // number of times that the lease expired
-	lapsesAtSuccess    map[flow.Task]int // leaseLapses when a task succeeded
+	formerCapacity     model.Size    // before it shrank
+	shrunkAt           clock.Millis  // when the capacity shrank last, or 0
+	leaseLapses        int           // number of times that the lease expired
+	lapsesAtSuccess    map[int64]int // leaseLapses at the ends that are successes, by number
 }
 
 type fakeAttempt struct {
@@ -604,7 +604,7 @@
 	f.ends = append(f.ends, plan.EndedAttempt{EndNumber: f.lastEndNumber, Task: r.task, Attempt: r.attempt, End: end})
 	if end == ledger.EndDone {
 		sim.succeeded[r.task] = true
-		f.lapsesAtSuccess[r.task] = f.leaseLapses
+		f.lapsesAtSuccess[f.lastEndNumber] = f.leaseLapses
 	}
 }
 
@@ -669,7 +669,7 @@
 			return false
 		}
 		// An end whose worker's lease has expired since then stands for nothing: the task may run again.
-		if e.End == ledger.EndDone && f.leaseLapses == f.lapsesAtSuccess[e.Task] {
+		if e.End == ledger.EndDone && f.leaseLapses == f.lapsesAtSuccess[e.EndNumber] {
 			sim.noteAcked(f, e)
 		}
 		return true
