vbridged/sched: times of a clock that was ahead are not in the future

The time at which a task was accepted is that of the instance that accepted it, and its start that of the leader then. A leader with a clock that is behind (after its own restart with the time of day set back, or always) took them for times of its own.

A time that lies ahead of the leader's clock now counts as the present. Times that lie too far back were left: such a task only comes earlier.

TestTaskAcceptedByClockAheadWaitsItsTurn failed before: the second job's task came first.

--- a/vbridged/sched/lead.go
+++ b/vbridged/sched/lead.go
@@ -91,7 +91,7 @@
 		if t.IsEnded() {
 			continue
 		}
-		event.Tasks = append(event.Tasks, toPlaceTask(i, t))
+		event.Tasks = append(event.Tasks, toPlaceTask(now, i, t))
 		if j.Cancelled || t.Surplus {
 			cancelled = append(cancelled, i)
 		}
@@ -102,10 +102,12 @@
 	}
 }
 
-func toPlaceTask(index int, t *state.Task) place.Task {
-	task := place.Task{Index: index, AcceptedAt: t.QueuedAt, Attempt: t.Attempt, CheckpointPercent: t.CheckpointPercent}
+// toPlaceTask returns a task with times of this process's clock. Another process, whose clock may have been ahead, recorded
+// those of the state.
+func toPlaceTask(now clock.Millis, index int, t *state.Task) place.Task {
+	task := place.Task{Index: index, AcceptedAt: min(t.QueuedAt, now), Attempt: t.Attempt, CheckpointPercent: t.CheckpointPercent}
 	if t.IsActive() {
-		task.Assignment = &place.Assignment{Worker: t.Worker, Incarnation: t.Incarnation, StartedAt: t.StartedAt}
+		task.Assignment = &place.Assignment{Worker: t.Worker, Incarnation: t.Incarnation, StartedAt: min(t.StartedAt, now)}
 	}
 	return task
 }
--- a/vbridged/sched/sched_test.go
+++ b/vbridged/sched/sched_test.go
@@ -271,6 +271,30 @@
 	})
 }
 
+// Guards against a task that waits behind later ones because an instance whose clock was ahead accepted it.
+func TestTaskAcceptedByClockAheadWaitsItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tz := newTestZone(t)
+		submit := func(run string, at clock.Millis) {
+			w := model.Batch{Base: model.Base{Name: "b", Team: "t", Zones: []model.Zone{"z"}, Count: 1, Size: model.Size{CPU: 9000, Memory: 100}}, Run: run, Time: 60 * clock.Second}
+			if _, err := tz.Propose(t.Context(), state.AddJob{Job: model.NewJobID("b", run), Work: model.EncodeWork(w), TaskCount: 1, At: at}); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+		}
+		submit("first", tz.source.Now()+clock.Hour)
+		time.Sleep(time.Second)
+		submit("second", tz.source.Now())
+		w := &testWorker{zone: tz, name: "a", incarnation: 1}
+		if !w.syncUntil(time.Minute, func() bool { return len(w.reply.Tasks) > 0 }) {
+			t.Fatal("no task was assigned")
+		}
+		if got, want := w.reply.Tasks[0].Task.Job, model.NewJobID("b", "first"); got != want {
+			t.Errorf("task of %s is assigned first, want that of %s", got, want)
+		}
+	})
+}
+
 // Guards against the confirmation of a task's outcome before it is committed, after which the worker
 // would discard it, and against an outcome that is applied twice.
 func TestOutcomeIsConfirmedAfterCommit(t *testing.T) {
