core/plan: a late answer of a former worker ends no tasks of the present one

What callers would see: tasks run on two workers at once (TWICE). A worker crashes while its first answer to a hold is held up, for example behind a relay or on a lossy link. Another worker starts at its address, answers a hold, and gets tasks. Then the held-up answer arrives: the former worker reports for the first time, so the present one was taken for ended, and its tasks started elsewhere while it ran them. Found by reading, no record of users shows it.

Cause: the first report of a worker counted as evidence that any other worker known at its address has ended. That holds only if answers arrive in the order in which the processes had the address.

Change: a worker has ended if another one at its address has answered a hold that was sent after the last answer of the first had arrived. Otherwise the order isn't known, and a later answer decides, so each answer is checked and not only the first.

Why it works: processes at an address follow one another. An answer shows that its process was up between the sending of the hold and the arrival of the answer; if the latter spans don't overlap, their order is that of the processes. For the same reason 421 needs no change: a hold is sent after its worker has announced itself, so the process that refuses it was up later, in whatever order the answers arrive. A report of a later start ends nothing by itself.

TestTasksOfReplacedWorkerStartSoon bounds the wait of a truly replaced worker's tasks as before, with one more hold if the last answer is late; it holds with and without the change.

--- a/core/plan/network_test.go
+++ b/core/plan/network_test.go
@@ -376,3 +376,14 @@
 		sim.after(max(cutAfter, 0)+clock.Millis(sim.rng.Int64N(int64(2*length))), func() { sim.restartAndCut(next, times-1) })
 	})
 }
+
+// replaceTwice has two workers follow one another at the address of a worker in quick succession.
+func (sim *simulation) replaceTwice(f *fakeWorker) {
+	first := clock.Millis(50 + sim.rng.IntN(300))
+	sim.crash(f, first)
+	sim.after(first+clock.Millis(20+sim.rng.IntN(200)), func() {
+		if next := sim.listeners[f.Address]; next.alive {
+			sim.crash(next, clock.Millis(20+sim.rng.IntN(100)))
+		}
+	})
+}
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -17,9 +17,9 @@
 	state                 *ledger.State
 	now                   clock.Millis
 	workers               map[model.WorkerID]*worker
-	workersByAddress      map[string]*worker
-	workersByID           []*worker // sorted by identifier; nil when it has to be rebuilt
-	workersByCapacityGain []*worker // sorted by worker.gainedInPass, highest first; nil when it has to be rebuilt
+	workersByAddress      map[string][]*worker // those that have answered in this term
+	workersByID           []*worker            // sorted by identifier; nil when it has to be rebuilt
+	workersByCapacityGain []*worker            // sorted by worker.gainedInPass, highest first; nil when it has to be rebuilt
 	jobs                  map[model.JobID]*job
 	teams                 map[string]*team
 	turns                 turns
@@ -70,7 +70,7 @@
 func New(now clock.Millis, cfg Config, state *ledger.State) (*Planner, []Decision) {
 	p := &Planner{
 		cfg: cfg, state: state, now: now, rankStep: rankByDue,
-		workers: map[model.WorkerID]*worker{}, workersByAddress: map[string]*worker{},
+		workers: map[model.WorkerID]*worker{}, workersByAddress: map[string][]*worker{},
 		teams: map[string]*team{}, jobs: map[model.JobID]*job{}, recurringJobs: map[model.JobID]*job{},
 		ticketCalls: map[uint64]*ticketCall{}, reserved: map[string]model.Millicores{},
 		approvalRates: map[string]float64{}, pendingAcks: map[uint64]ackBatch{},
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -22,9 +22,9 @@
 	if !w.hasReported {
 		w.hasReported = true
 		p.passNeeded = true
-		p.replaceAtAddress(w)
 		p.logEvent(LogEvent{Event: "worker answers", Worker: w.ID, Age: e.ReceivedAt - e.SentAt})
 	}
+	p.noteAnswerAtAddress(w, e.SentAt)
 	w.reportedClock, w.reportedAt = e.Clock, e.ReceivedAt
 	w.answeredHoldSentAt = max(w.answeredHoldSentAt, e.SentAt)
 	if elapsed := max(e.ReceivedAt-e.SentAt, 1); w.minRoundTrip == 0 || elapsed < w.minRoundTrip {
--- a/core/plan/restart_test.go
+++ b/core/plan/restart_test.go
@@ -79,7 +79,7 @@
 		case 3:
 			sim.startLeader()
 		case 4:
-			sim.crash(f, 1000)
+			sim.replaceTwice(f)
 		case 5:
 			sim.cut(f, clock.Millis(500+sim.rng.IntN(9000)))
 		case 6:
@@ -233,3 +233,63 @@
 		sim.failf("the worker that does not exist is still called")
 	}
 }
+
+// Guards against the end of a sound worker's tasks, which start elsewhere meanwhile (TWICE), when the answer of the worker
+// that was at its address before arrives after its own.
+func TestLateAnswerOfFormerWorkerEndsNoTask(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.configure(newQueue("/a/"))
+	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 3 * clock.Second, false }
+	sim.answerDelay = func(f *fakeWorker) clock.Millis {
+		if f.ID == "former" {
+			return 500
+		}
+		return 0
+	}
+	sim.startLeader()
+	former := sim.addWorkerAt("x", "former", workerSize)
+	sim.run(80)
+	sim.crash(former, 20)
+	sim.run(200)
+	sim.submit("/a/", "1", flow.Step{Count: 4, Need: smallTask, Estimate: 3000})
+	sim.run(200)
+	sim.addWorker("other", workerSize)
+	sim.run(10 * clock.Second)
+	sim.requireCompleted()
+	if n := sim.countRestarts(); n > 0 {
+		sim.failf("%d tasks of the present worker were started again", n)
+	}
+}
+
+// Guards against tasks of a replaced worker that wait for its lease, also if its last answer arrives after the first hold
+// to the next worker was sent: they start elsewhere once the next hold is answered.
+func TestTasksOfReplacedWorkerStartSoon(t *testing.T) {
+	for lateness := clock.Millis(0); lateness <= 300; lateness += 20 {
+		sim := newSimulation(t, 1)
+		sim.configure(newQueue("/a/"))
+		sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 60 * clock.Second, false }
+		sim.startLeader()
+		f := sim.addWorkerAt("x", "former", workerSize)
+		sim.run(2 * lease)
+		sim.submit("/a/", "1", flow.Step{Count: 4, Need: smallTask, Estimate: 1000})
+		sim.run(3 * clock.Second)
+		sim.addWorker("other", workerSize)
+		sim.run(100)
+		sim.answerDelay = func(f *fakeWorker) clock.Millis {
+			if f.ID == "former" {
+				return lateness
+			}
+			return 0
+		}
+		// An end has the worker answer its hold now.
+		sim.recordEnd(f, f.attempts[sortedKeys(f.attempts)[0]], ledger.EndFailed)
+		sim.run(transitTime)
+		f.vanishes = true // its calls get no answer, so that only those to the next worker tell
+		sim.crash(f, 100)
+		// The announcement, a hold and its answer, one more after the late answer, two commits, and the start order.
+		sim.run(100 + max(3*transitTime, lateness+4*transitTime+25) + 2*commitTime + 100)
+		if n := len(sim.members(flow.Task{Job: "1"})); n != 4 {
+			sim.failf("lateness %d: %d tasks run, want 4", lateness, n)
+		}
+	}
+}
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"slices"
+
 	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
@@ -113,6 +115,9 @@
 	old := p.workers[announced.ID]
 	if old != nil && old.StartedAt == announced.StartedAt {
 		wasLeaving, capacity := old.Leaving, old.Capacity
+		if announced.Address != old.Address {
+			p.leaveAddress(old)
+		}
 		old.Worker = announced
 		if announced.Capacity != capacity {
 			p.logEvent(LogEvent{Event: "worker resized", Worker: announced.ID, Cause: capacity.String() + " to " + announced.Capacity.String()})
@@ -137,19 +142,42 @@
 	p.workers[announced.ID] = w
 	p.workersByID, p.workersByCapacityGain = nil, nil
 	if old != nil {
+		p.leaveAddress(old)
 		p.moveToNextProcess(old, w)
 	}
 	p.decisions = append(p.decisions, WatchWorker{Worker: w.incarnation()})
 	p.logEvent(LogEvent{Event: eventWorkerJoins, Worker: announced.ID, Cause: announced.Capacity.String()})
 }
 
-// replaceAtAddress records that a worker has answered at its address, so that the one that was there before has ended.
-func (p *Planner) replaceAtAddress(w *worker) {
-	other := p.workersByAddress[w.Address]
-	p.workersByAddress[w.Address] = w
-	if other != nil && other.ID != w.ID && other.Address == w.Address && p.workers[other.ID] == other {
-		p.removeCrashed(other)
+// noteAnswerAtAddress records that a worker has answered a hold at its address. Processes at an address follow one another,
+// so those that had answered there before that hold was sent have ended. As answers may overtake each other, the order
+// of the others isn't known before a later answer.
+func (p *Planner) noteAnswerAtAddress(w *worker, sentAt clock.Millis) {
+	list := p.workersByAddress[w.Address]
+	if len(list) == 1 && list[0] == w {
+		return
+	}
+	present := []*worker{w}
+	for _, other := range list {
+		switch {
+		case other == w || other.lost:
+		case other.reportedAt < sentAt:
+			p.removeCrashed(other)
+		default:
+			present = append(present, other)
+		}
+	}
+	p.workersByAddress[w.Address] = present
+}
+
+// leaveAddress forgets that a worker has answered at its address.
+func (p *Planner) leaveAddress(w *worker) {
+	list := slices.DeleteFunc(p.workersByAddress[w.Address], func(other *worker) bool { return other == w })
+	if len(list) == 0 {
+		delete(p.workersByAddress, w.Address)
+		return
 	}
+	p.workersByAddress[w.Address] = list
 }
 
 // removeCrashed ends and removes a worker at whose address another one has answered.
@@ -180,9 +208,7 @@
 	}
 	p.markWorkerLost(w, "worker was dismissed")
 	delete(p.workers, id)
-	if p.workersByAddress[w.Address] == w {
-		delete(p.workersByAddress, w.Address)
-	}
+	p.leaveAddress(w)
 	p.workersByID, p.workersByCapacityGain = nil, nil
 }
 
