core/plan: refused connections don't prove that a worker which has left has ended

What callers would see: tasks run on two workers at once (TWICE). A worker announces its end, and the link is cut before the acknowledgement arrives; such a process lives on for some seconds. The cut refuses connections, which together with the announcement counted as proof that the process had ended, so that its tasks started elsewhere while it ran them. Found by reading; no record shows it.

The tasks of such a worker now end with its lease, as those of any other that can't be reached. It is removed at once if it has none.

TestTasksOfWorkerCutOffAsItLeavesRunOnce failed before: attempt 2 starts on w1 while attempt 1 runs on w0. TestTasksOfWorkerThatHasLeftStartAgain bounds the wait by the 6 s that a long-running task may be without a run; it passes before too.

Weighed: shorter leases for workers that leave would end the wait sooner, but lose work when the leader changes meanwhile.

--- a/core/plan/ended.go
+++ b/core/plan/ended.go
@@ -17,8 +17,6 @@
 	evidenceLaterStart evidence = iota + 1
 	// evidenceOtherWorker means that a worker with another identifier has answered at the address.
 	evidenceOtherWorker
-	// evidenceLeft means that the worker has announced its end and that its address refuses connections.
-	evidenceLeft
 	// evidenceLease means that the worker could not be reached until the lease of its tasks had ended.
 	evidenceLease
 )
@@ -39,7 +37,6 @@
 var evidenceRules = map[evidence]evidenceRule{
 	evidenceLaterStart:  {cause: "worker started again", carriesOutOrders: true},
 	evidenceOtherWorker: {cause: "another worker listens at its address"},
-	evidenceLeft:        {cause: "it has left, and nothing listens at its address"},
 	evidenceLease:       {cause: "lease ended without contact"},
 }
 
--- a/core/plan/leave_test.go
+++ b/core/plan/leave_test.go
@@ -45,3 +45,46 @@
 		}
 	}
 }
+
+// Guards against tasks that start elsewhere while their worker, which has announced its end, still runs them (TWICE): the
+// link is cut before the acknowledgement arrives, refuses connections, and the process lives on for some seconds.
+func TestTasksOfWorkerCutOffAsItLeavesRunOnce(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.leaveWithTasks()
+	f.partitioned, f.refuses = true, true
+	sim.run(4 * clock.Second)
+	f.alive = false
+	sim.run(30 * clock.Second)
+	sim.requireCompleted()
+}
+
+// Guards against tasks of a worker that has left which wait longer than a long-running task may be without a run.
+func TestTasksOfWorkerThatHasLeftStartAgain(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.leaveWithTasks()
+	f.alive = false
+	sim.run(6 * clock.Second)
+	if n := len(sim.members(flow.Task{Job: "1"})); n != 2 {
+		sim.failf("6 s after the end of their worker %d tasks run, want 2", n)
+	}
+	if n := len(sim.state.Workers()); n != 1 {
+		sim.failf("the state has %d workers, want 1", n)
+	}
+}
+
+// leaveWithTasks starts two tasks on a worker, and returns it just after its announcement that it ends.
+func (sim *simulation) leaveWithTasks() *fakeWorker {
+	sim.configure(newQueue("/a/"))
+	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 12 * clock.Second, false }
+	sim.startLeader()
+	f := sim.addWorker("w0", workerSize)
+	sim.run(2 * lease)
+	sim.submit("/a/", "1", flow.Step{Count: 2, Need: smallTask, Estimate: 12 * clock.Second})
+	sim.run(clock.Second)
+	sim.addWorker("w1", workerSize)
+	f.Leaving, f.Seq = true, 2
+	sim.apply(ledger.RegisterWorker{Worker: f.Worker})
+	sim.run(3 * clock.Second)
+	sim.apply(ledger.RegisterWorker{Worker: f.WithLeft()})
+	return f
+}
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -252,11 +252,11 @@
 	case FailureRestarted:
 		p.noteRestart(w)
 	case FailureRefused:
-		// A link that is cut may refuse connections too, so only a worker that has left is certain to have ended.
-		// The tasks of any other one end with its lease, or when another worker is found at its address.
+		// A link that is cut may refuse connections too, so the tasks of the worker end with its lease, or when another one
+		// is found at its address. One that has left and has no tasks is not waited for.
 		w.unresponsive = true
-		if w.refusedConns++; w.refusedConns >= maxRefusedConns && w.HasLeft() {
-			p.markWorkerLost(w, evidenceRules[evidenceLeft].cause)
+		if w.refusedConns++; w.refusedConns >= maxRefusedConns && w.HasLeft() && len(w.tasks) == 0 {
+			p.markWorkerLost(w, "it has left, and nothing listens at its address")
 			p.propose(ledger.RemoveWorker{ID: w.ID, StartedAt: w.StartedAt})
 		}
 	case FailureNoAnswer:
