core/plan: a lease of an earlier leader lasts after the first report

What callers would see: tasks run on two workers at once (TWICE) after a change of leader. The new leader has had its first report from a worker and then can't call it for 2 s, for example because it was paused, or lost the contact to the other cores for a time without losing its term. It took the worker's tasks for lost, and started them elsewhere or again on the same worker, while they ran under the lease of the leader before, which lasts 4.5 s. Found by reading, no record of users shows it.

Cause: a worker's leaseEnd is what this leader has granted, and 0 until the second hold is sent. Ticks end the tasks of a worker that was out of contact for 2 s if its lease is over, also while the leader may not act and sends no holds.

Change: from the first report on, the lease counts as if this leader had granted one then, with the drift of the earlier leader's estimate. Later holds of that leader are refused, because the worker has seen a higher fencing token.

Cost: none while holds are sent, as the next hold, 25 ms later, grants a lease up to nearly the same time.

Evidence: TestLeaseOfEarlierLeaderLastsAfterFirstReport fails before (a task starts while its first attempt runs) and passes with the change.

--- a/core/plan/network_test.go
+++ b/core/plan/network_test.go
@@ -203,6 +203,10 @@
 	if term != sim.term {
 		return
 	}
+	if sim.mayNotCall {
+		sim.after(20, func() { sim.sendHold(term, incarnation) })
+		return
+	}
 	h, wait, ok := sim.planner.NextHold(sim.now, incarnation)
 	if !ok {
 		return
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -542,3 +542,27 @@
 		t.Fatalf("2 tasks were started %d times in all although their worker was only cut off", got)
 	}
 }
+
+// Guards against tasks that start elsewhere while they run under the lease of an earlier leader (TWICE): the next one had
+// its first report from their worker, and then couldn't call it for a time.
+func TestLeaseOfEarlierLeaderLastsAfterFirstReport(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.configure(newQueue("/a/"))
+	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 10 * clock.Second, false }
+	sim.startLeader()
+	sim.addWorker("w0", workerSize)
+	sim.run(2 * lease)
+	sim.submit("/a/", "1", flow.Step{Count: 2, Need: smallTask, Estimate: 10 * clock.Second})
+	sim.run(clock.Second)
+	sim.addWorker("w1", workerSize)
+	sim.startLeader()
+	sim.run(transitTime + 10)
+	sim.mayNotCall = true // the first holds are answered
+	sim.run(2200)
+	sim.mayNotCall = false
+	sim.run(20 * clock.Second)
+	sim.requireCompleted()
+	if got := sim.countStarts(); got != 2 {
+		t.Fatalf("2 tasks were started %d times in all although their worker ran them", got)
+	}
+}
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -22,6 +22,8 @@
 	if !w.hasReported {
 		w.hasReported = true
 		p.passNeeded = true
+		// A lease of an earlier leader may last as long as one that this leader would grant now.
+		w.leaseEnd = max(w.leaseEnd, e.Clock+p.cfg.Lease*(100+maxDriftPercent)/100)
 		p.logEvent(LogEvent{Event: "worker answers", Worker: w.ID, Age: e.ReceivedAt - e.SentAt})
 	}
 	p.noteAnswerAtAddress(w, e.SentAt)
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -54,6 +54,8 @@
 	// isRough is set if answers overtake each other, calls that a cut holds up are carried out after it, processes are
 	// known only once they have reached the leader, and announcements of processes that have ended arrive late.
 	isRough bool
+	// mayNotCall is set while the leader has no valid lease of its own, so that it sends no holds.
+	mayNotCall bool
 	// answerDelay returns how much longer than usual an answer of a process takes; it may be nil.
 	answerDelay func(*fakeWorker) clock.Millis
 	// lostAnswerShare is the share of calls without an answer: a third of them are carried out
