platform, core/ledger: connections, reports and announcements are compared with whole incarnations

Ran: cd platform && go test . without the soak, cd core && go test ./ledger ./flow: pass. make check: passes.

--- a/core/ledger/state.go
+++ b/core/ledger/state.go
@@ -202,10 +202,11 @@
 // stays so.
 func (s *State) registerWorker(w flow.Worker) {
 	if old, ok := s.workers[w.ID]; ok {
-		if w.StartedAt < old.StartedAt || (w.StartedAt == old.StartedAt && w.Seq <= old.Seq) {
+		same := old.Incarnation() == w.Incarnation()
+		if old.Incarnation().IsLaterThan(w.Incarnation()) || (same && w.Seq <= old.Seq) {
 			return
 		}
-		w.Leaving = w.Leaving || (old.Leaving && w.StartedAt == old.StartedAt)
+		w.Leaving = w.Leaving || (same && old.Leaving)
 	}
 	s.workers[w.ID] = w
 }
