core/plan: the planned end of a worker is no crash under its tasks

What callers would see: a job is shown as failed though none of its tasks has failed (LOST). Since refused connections no longer prove that a worker which has left has ended, its tasks end with its lease, and refused connections counted them as crashed. Five such ends under a task within ten minutes fail its job. Found in review, no record shows it.

Cause: endUnreachableTasks asked only whether connections are refused, as the tasks of a worker that had left didn't reach it before.

Change: the tasks of a worker that was leaving end as lost there too, as markWorkerCrashed and moveToNextProcess have it.

--- a/core/plan/crash.go
+++ b/core/plan/crash.go
@@ -49,7 +49,7 @@
 }
 
 // endUnreachableTasks ends the tasks of a worker whose lease has expired. A worker whose address refuses connections
-// has probably crashed, but a link that is cut may refuse them too.
+// has probably crashed, but a link that is cut may refuse them too. One that was leaving has ended as planned.
 func (p *Planner) endUnreachableTasks(w *worker) {
 	for _, t := range w.selectTasks(func(t *task) bool { return t.lapsesAt == 0 || t.hasLapsed(p.now) }) {
 		end, cause := ledger.EndLost, evidenceRules[evidenceLease].cause
@@ -58,7 +58,7 @@
 		}
 		if w.refusedConns > 0 {
 			cause = "lease ended while connections were refused"
-			if t.crashEnd() != ledger.EndLost {
+			if !w.Leaving && t.crashEnd() != ledger.EndLost {
 				end = ledger.EndWorkerCrash
 			}
 		}
--- a/core/plan/leave_test.go
+++ b/core/plan/leave_test.go
@@ -88,3 +88,16 @@
 	sim.apply(ledger.RegisterWorker{Worker: f.WithLeft()})
 	return f
 }
+
+// Guards against jobs that fail because the workers of their tasks left as planned (LOST): such an end is no crash.
+func TestPlannedEndOfWorkerIsNoCrash(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.leaveWithTasks()
+	f.alive = false
+	sim.run(6 * clock.Second)
+	for i := range 2 {
+		if c := sim.state.Crashes(flow.Task{Job: "1", Index: i}); c.Total != 0 {
+			sim.failf("%d crashes are counted under task %d, want 0", c.Total, i)
+		}
+	}
+}
