--- a/core/plan/params.go
+++ b/core/plan/params.go
@@ -57,8 +57,8 @@
 	minHoldInterval = 25 * clock.Millisecond
 	// holdRetryDelay is the pause after a failed hold.
 	holdRetryDelay = 250 * clock.Millisecond
-	// maxRefusedConns is the number of refused connections in a row after which a worker that has left is declared
-	// lost.
+	// maxRefusedConns is the number of refused connections in a row after which a worker that has left, and has no tasks,
+	// is declared lost.
 	maxRefusedConns = 2
 	// stopResendInterval is the time between two stop orders for the same attempt.
 	stopResendInterval = 500 * clock.Millisecond
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -283,8 +283,7 @@
 }
 
 // MarkWorkerLeft records that the process of a worker ends now, and returns once the ends that the worker has listed
-// are committed: the process waits for that. The outcome of its running tasks is settled when its address refuses
-// connections.
+// are committed: the process waits for that. Tasks that still run end with their lease.
 func (d *Domain) MarkWorkerLeft(ctx context.Context, id model.WorkerID) error {
 	d.mu.Lock()
 	w, known := d.state.Workers()[id]
