core/plan: a new leader counts with the leases of earlier ones also after a worker's first report

What callers could see: a task runs on two workers at once after a change of leader (TWICE).

Cause: before the first report the leases of earlier leaders count until priorLeaseEnd. After it only the leases of this leader counted, of which there is none until its second hold is sent: 25 ms later, or when a connection or its relay is free for it. If the worker is cut off and the second hold isn't sent for contactTimeout (2 s), its tasks were started elsewhere while they run on by the lease of the earlier leader.

Change: no lease counts as over before priorLeaseEnd. It delays only tasks of workers that the leader has known for less than a lease and a second.

--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -42,8 +42,7 @@
 	// answeredHoldSentAt is when the newest hold was sent that the worker has answered.
 	answeredHoldSentAt clock.Millis
 	// leaseEnd is the highest expiry of a lease or start order sent to the worker, on the worker's clock.
-	// Until the first report, priorLeaseEnd is the time on the leader's clock by which all leases of
-	// earlier leaders have ended.
+	// priorLeaseEnd is the time on the leader's clock by which all leases of earlier leaders have ended.
 	leaseEnd      clock.Millis
 	priorLeaseEnd clock.Millis
 	// lastReportedEnd is the highest number of an end that was reported, and lastCommittedEnd the
@@ -107,7 +106,7 @@
 // hasLeaseExpired reports whether the lease of the worker's tasks has ended even if its clock runs
 // maxDriftPercent slow.
 func (w *worker) hasLeaseExpired(now clock.Millis) bool {
-	if !w.hasReported {
+	if now < w.priorLeaseEnd || !w.hasReported {
 		return now >= w.priorLeaseEnd
 	}
 	elapsed := (now - w.reportedAt) * (100 - maxDriftPercent) / 100
