core/quorum, vbridged/group: what a leader decides is appended in its term only

What callers could see: a task runs on two workers at once (TWICE).

Cause: the commands of a planner named no term to the group, which appended them in whatever term the instance led by then. An instance that loses and regains leadership while a step of its earlier session still runs, for example in a process that was paused, would append that session's ends and removals, judged without the leader in between. The name of an instance stood for one leadership of it.

Change: a proposal names the term that the replica must lead; in another one it is rejected (ErrNotLeader), as on another leader. Proposals of callers name none.

TestProposalOfEarlierTermIsRejected fails without the check: nothing is rejected, and the log has 3 more entries. core/quorum, vbridged/group and vbridged/fleet pass.

--- a/core/quorum/lead.go
+++ b/core/quorum/lead.go
@@ -75,6 +75,10 @@
 	err := n.proposalError()
 	available := n.cfg.Limits.UncommittedBytes - n.uncommittedBytes()
 	for _, p := range proposals {
+		if p.Term != 0 && p.Term != n.hardState.Term {
+			n.outputs = append(n.outputs, Rejected{ID: p.ID, Err: fault.Wrap(fault.ErrNotLeader, "append proposal: it was made in term %d, and group %q is in term %d", p.Term, n.cfg.Group, n.hardState.Term)})
+			continue
+		}
 		if err == nil && available < len(p.Data) {
 			err = fault.Wrap(fault.ErrOverloaded, "append proposal: group %q has reached the limit of %d uncommitted bytes", n.cfg.Group, n.cfg.Limits.UncommittedBytes)
 		}
--- a/core/quorum/port.go
+++ b/core/quorum/port.go
@@ -15,6 +15,8 @@
 type Proposal struct {
 	ID   uint64
 	Data []byte
+	// Term is the term that the replica must lead to append the command, or 0 for any.
+	Term uint64
 }
 
 // Propose proposes a batch of commands.
--- a/core/quorum/rules_test.go
+++ b/core/quorum/rules_test.go
@@ -19,6 +19,7 @@
 	sent           []Message
 	applied        []Entry
 	confirmed      []ReadConfirmed
+	rejected       []uint64
 	lastPersistSeq uint64
 	manualSync     bool
 }
@@ -62,6 +63,8 @@
 			h.applied = append(h.applied, o.Entries...)
 		case ReadConfirmed:
 			h.confirmed = append(h.confirmed, o)
+		case Rejected:
+			h.rejected = append(h.rejected, o.ID)
 		case Persist:
 			h.lastPersistSeq = o.Seq
 		}
@@ -338,3 +341,18 @@
 		t.Errorf("confirmed reads of the second process (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a decision of a leader that is appended in a later term of the same instance: another leader may have
+// decided otherwise in between.
+func TestProposalOfEarlierTermIsRejected(t *testing.T) {
+	h := restoredNode(t, 2)
+	h.elect()
+	term, last := h.node.hardState.Term, h.node.log.lastIndex()
+	h.step(Propose{[]Proposal{{ID: 1, Term: term - 1}, {ID: 2, Term: term}, {ID: 3}}})
+	if diff := cmp.Diff([]uint64{1}, h.rejected); diff != "" {
+		t.Errorf("rejected proposals (-want +got):\n%s", diff)
+	}
+	if got, want := h.node.log.lastIndex(), last+2; got != want {
+		t.Errorf("last index %d, want %d", got, want)
+	}
+}
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -51,7 +51,7 @@
 		klog.ErrorS(err, "command not proposed: it cannot be encoded")
 		return
 	}
-	d.group.ProposeAsync(data, func(_ []byte, err error) {
+	d.group.ProposeAsync(s.term, data, func(_ []byte, err error) {
 		if err == nil || s.ctx.Err() != nil {
 			return
 		}
--- a/vbridged/group/group.go
+++ b/vbridged/group/group.go
@@ -193,7 +193,7 @@
 	for _, e := range events {
 		if e.proposal != nil {
 			if g.claimProposal(e.proposal) {
-				g.batch = append(g.batch, quorum.Proposal{ID: e.proposal.id, Data: e.proposal.data})
+				g.batch = append(g.batch, quorum.Proposal{ID: e.proposal.id, Data: e.proposal.data, Term: e.proposal.inTerm})
 			}
 			continue
 		}
--- a/vbridged/group/propose.go
+++ b/vbridged/group/propose.go
@@ -15,8 +15,8 @@
 type pendingProposal struct {
 	id   uint64
 	data []byte
-	// term is the term of the appended entry.
-	term uint64
+	// inTerm is the term that the replica must lead, or 0. term is the term of the appended entry.
+	inTerm, term uint64
 	// claimed is set by claimProposal or by abandon, whichever comes first: either the proposal
 	// goes to the node, or it is withdrawn and has no effect.
 	claimed atomic.Bool
@@ -79,15 +79,15 @@
 	}
 }
 
-// ProposeAsync proposes a command at this replica without waiting for the result. Commands are
-// appended in the order of the calls. done is called once, from another goroutine, with the result that
+// ProposeAsync proposes a command at this replica, while it leads the given term, without waiting for the result.
+// Commands are appended in the order of the calls. done is called once, from another goroutine, with the result that
 // ProposeLocal would return.
-func (g *Group) ProposeAsync(data []byte, done func(result []byte, err error)) {
+func (g *Group) ProposeAsync(term uint64, data []byte, done func(result []byte, err error)) {
 	if err := g.checkAdmission(); err != nil {
 		go done(nil, err)
 		return
 	}
-	p := &pendingProposal{id: g.nextID.Add(1), data: data, done: make(chan struct{})}
+	p := &pendingProposal{id: g.nextID.Add(1), data: data, inTerm: term, done: make(chan struct{})}
 	g.events.push(event{proposal: p})
 	go func() {
 		select {
