--- a/core/plan/carry_test.go
+++ b/core/plan/carry_test.go
@@ -3,9 +3,8 @@
 import (
 	"fmt"
 
-	"vanillabridge/core/flow"
-
 	"vanillabridge/core/clock"
+	"vanillabridge/core/flow"
 	"vanillabridge/core/model"
 	"vanillabridge/core/plan"
 	"vanillabridge/core/relay"
--- a/core/plan/decision.go
+++ b/core/plan/decision.go
@@ -7,7 +7,7 @@
 	"vanillabridge/core/model"
 )
 
-// Decision is an output of Planner.Step: one of Propose, Start, Stop, TicketRequest, WatchWorker and
+// Decision is an output of Planner.Step: one of Propose, Start, Stop, TicketRequest, WatchWorker,
 // LogEvent and LogDone.
 type Decision interface{ decision() }
 
@@ -76,7 +76,7 @@
 
 // ProcessState is what the leader knows of a process of a worker, for the log.
 type ProcessState struct {
-	// LeaseEnd is the highest expiry that was sent to the process, and Clock what its clock should show; both are on that clock.
+	// LeaseEnd is when the lease of the process ends at the latest, and Clock what its clock should show; both are on that clock.
 	LeaseEnd, Clock clock.Millis
 	// ListedEnd is the highest number of an end that the process has listed, and AckedEnd the highest one that a hold has
 	// told it to forget.
--- a/core/plan/ended.go
+++ b/core/plan/ended.go
@@ -8,8 +8,8 @@
 	"vanillabridge/core/ledger"
 )
 
-// evidence is what shows that the process of a worker has ended. All of it comes from the process that listens at the
-// worker's address now, or from time alone: an announcement by itself ends no attempt.
+// evidence is what shows that the process of a worker has ended. All of it comes from a process that has listened at the
+// worker's address since, or from time alone: an announcement by itself ends no attempt.
 type evidence uint8
 
 const (
@@ -26,7 +26,8 @@
 	cause string
 	// carriesOutOrders is set if a process that follows would carry out what was sent to the one that ended: it has the
 	// identifier that calls name, and has seen neither a fencing token nor an attempt. An attempt whose start order may
-	// have reached it has to be stopped there before its task starts elsewhere.
+	// have reached it has to be stopped there before its task starts elsewhere. No call of this version reaches it, but
+	// cores of earlier versions may still make some during an upgrade.
 	carriesOutOrders bool
 }
 
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -43,7 +43,8 @@
 	minRoundTrip clock.Millis
 	// answeredHoldSentAt is when the newest hold was sent that the worker has answered.
 	answeredHoldSentAt clock.Millis
-	// leaseEnd is the highest expiry of a lease or start order sent to the worker, on the worker's clock.
+	// leaseEnd is the highest expiry of a lease or start order sent to the worker, on the worker's clock, or that an earlier
+	// leader may have sent before the first report.
 	// Until the first report, priorLeaseEnd is the time on the leader's clock by which all leases of
 	// earlier leaders have ended.
 	leaseEnd      clock.Millis
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -8,12 +8,11 @@
 	"syscall"
 	"time"
 
-	"vanillabridge/core/flow"
-
 	"k8s.io/klog/v2"
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
+	"vanillabridge/core/flow"
 	"vanillabridge/core/ledger"
 	"vanillabridge/core/model"
 	"vanillabridge/core/plan"
