--- a/vbstand/chaos/kinds_test.go
+++ b/vbstand/chaos/kinds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -262,3 +263,28 @@
 		c.t.Errorf("after the fault %d of 80 requests succeeded in %d sends, want at least 76", done, len(sends))
 	}
 }
+
+// Guards against a backend server that starts again at its address and gets the requests for its former process beside its
+// own, which is more than it can carry.
+func TestRestartServer(t *testing.T) {
+	runScenario(t, "again", func(c *cluster) {
+		var calls sync.WaitGroup
+		calls.Go(func() {
+			opt := c.callerOptions("short", 2, [3]int{1, 1, 1}, 4000)
+			opt.Rate, opt.Concurrency, opt.Deadline, opt.MaxResends = 400, 150, 500*time.Millisecond, 0
+			c.runCaller(c.t.Context(), opt)
+		})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		for range 4 {
+			c.startServer("again", "west-a", "--listen", address, "--time", "300ms")
+			time.Sleep(2 * time.Second)
+			c.kill("again")
+		}
+		calls.Wait()
+	})
+}
