core/plan: a failing test of a worker that is cut off as it leaves

What callers would see: tasks run on two workers at once (TWICE). A worker announces its end, and its link is cut before the acknowledgement arrives, so that connections to it are refused. Its process lives on for some seconds and its tasks hold a lease, but after two refused connections they start elsewhere (evidenceLeft). Found by reading, no record of users shows it.

The lease is sound evidence, but has tasks of each worker that leaves wait longer than now; the price has to be measured before the rule is changed.

--- a/core/plan/leave_test.go
+++ b/core/plan/leave_test.go
@@ -45,3 +45,26 @@
 		}
 	}
 }
+
+// Guards against tasks that start elsewhere while their worker, which has announced its end, still runs them (TWICE): the
+// link is cut before the acknowledgement arrives, refuses connections, and the process lives on for some seconds.
+func TestTasksOfWorkerCutOffAsItLeavesRunOnce(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.configure(newQueue("/a/"))
+	sim.taskWork = func(flow.Task, *fakeWorker) (clock.Millis, bool) { return 12 * clock.Second, false }
+	sim.startLeader()
+	f := sim.addWorker("w0", workerSize)
+	sim.run(2 * lease)
+	sim.submit("/a/", "1", flow.Step{Count: 2, Need: smallTask, Estimate: 12 * clock.Second})
+	sim.run(clock.Second)
+	sim.addWorker("w1", workerSize)
+	f.Leaving, f.Seq = true, 2
+	sim.apply(ledger.RegisterWorker{Worker: f.Worker})
+	sim.run(3 * clock.Second)
+	sim.apply(ledger.RegisterWorker{Worker: f.WithLeft()})
+	f.partitioned, f.refuses = true, true
+	sim.run(4 * clock.Second)
+	f.alive = false
+	sim.run(30 * clock.Second)
+	sim.requireCompleted()
+}
