--- a/core/plan/carry_test.go
+++ b/core/plan/carry_test.go
@@ -31,7 +31,7 @@
 
 type leaderMemory struct {
 	name    model.Instance
-	process plan.Incarnation // whose report is remembered
+	process flow.Incarnation // whose report is remembered
 	memory  relay.Memory
 }
 
