review: RECOVER and CONFIG after one lost disk

Cause: a voter that is lost is taken out of the voters before its replacement becomes one, while a second one that has just lost its disk still counts as alive; the new membership is in force and can't be committed.

--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -16,7 +16,6 @@
 	CPU         int   `json:"cpu,omitempty"`
 	MemMb       int   `json:"memMb,omitempty"`
 	EstimateMs  int64 `json:"estimateMs,omitempty"`
-	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"longRunning,omitempty"`
 }
 
@@ -37,12 +36,17 @@
 	return 0
 }
 
-// submit hands a job in until it is accepted, and reports whether it was.
-func (c *cell) submit(q queue, id, spec string, phases []phase) bool {
+func jobBody(spec string, phases []phase) []byte {
 	body, err := json.Marshal(map[string]any{"spec": spec, "phases": phases})
 	if err != nil {
 		panic(err) // the values can always be encoded
 	}
+	return body
+}
+
+// submit hands a job in until it is accepted, and reports whether it was.
+func (c *cell) submit(q queue, id, spec string, phases []phase) bool {
+	body := jobBody(spec, phases)
 	c.mu.Lock()
 	c.handedIn[id] = phases
 	c.mu.Unlock()
--- a/review/standin-2/cell.go
+++ b/review/standin-2/cell.go
@@ -195,6 +195,15 @@
 	_ = cmd.Wait()
 }
 
+// addCore returns a further core, which starts with an empty disk while the others run.
+func (c *cell) addCore() *node {
+	n := &node{name: "core-salish-a-2", role: "core", ip: c.ip(firstCoreIP + coreCount), zone: zones[0], cell: c}
+	n.dataDir = filepath.Join(c.dir, n.name)
+	return n
+}
+
+func (c *cell) controlSuffix() string { return fmt.Sprintf(":%d", c.controlPort) }
+
 // startAll starts all nodes.
 func (c *cell) startAll() error {
 	for _, n := range append(append([]*node{}, c.cores...), c.fronts...) {
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -49,7 +49,6 @@
 type run struct {
 	task    string
 	attempt int
-	spec    string
 	begun   time.Time
 	work    time.Duration
 	kind    string
@@ -253,7 +252,7 @@
 	}
 	x.extend(o.ExpiresAtMs)
 	kind, work := parseSpec(o.Spec)
-	r := &run{task: o.Task, attempt: o.Attempt, spec: o.Spec, begun: time.Now(), work: work, kind: kind}
+	r := &run{task: o.Task, attempt: o.Attempt, begun: time.Now(), work: work, kind: kind}
 	x.runs[o.Task] = r
 	x.fleet.audit.started(x, r)
 	if kind == "last" {
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -67,20 +67,18 @@
 
 	mu     sync.Mutex
 	active map[string]int       // runs of the task now
-	starts map[string]int       // by task
 	ends   map[string][]string  // by task: how its runs ended
 	lastAt map[string]time.Time // by task: the end of its last run
 }
 
 func newAudit(r *record) *audit {
-	return &audit{record: r, active: map[string]int{}, starts: map[string]int{}, ends: map[string][]string{}, lastAt: map[string]time.Time{}}
+	return &audit{record: r, active: map[string]int{}, ends: map[string][]string{}, lastAt: map[string]time.Time{}}
 }
 
 func (a *audit) started(x *executor, r *run) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.active[r.task]++
-	a.starts[r.task]++
 	a.record.note("run %s#%d starts on %s", r.task, r.attempt, x.id)
 }
 
@@ -113,21 +111,6 @@
 	return list
 }
 
-// total returns the number of starts and of ends of a kind.
-func (a *audit) total(how string) (starts, ends int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for task := range a.starts {
-		starts += a.starts[task]
-		for _, e := range a.ends[task] {
-			if e == how {
-				ends++
-			}
-		}
-	}
-	return starts, ends
-}
-
 // use describes how much of the processors of the executors that are up is requested by what runs.
 func (f *fleet) use() string {
 	f.mu.Lock()
