quorum, group: log why a replica sees no commits

Node.CommitStatus tells the membership in force and the newest one known to be committed, the voters that are silent, since when and whether their instance has come back with another identity, and the voters that refuse their vote. The runtime logs it after two election timeouts without a commit, and every 5 s from then on.

--- a/core/quorum/elect.go
+++ b/core/quorum/elect.go
@@ -3,7 +3,7 @@
 // campaign requests votes from the other voters: as preCandidate it asks whether they would vote
 // for this replica, as candidate it increments the term and asks for the votes.
 func (n *Node) campaign(as role, ignoreLease bool) {
-	n.role, n.leaderID = as, ID{}
+	n.role, n.leaderID, n.campaignedAt = as, ID{}, n.now
 	clear(n.votes)
 	kind, reply, term := KindPreVote, KindPreVoteReply, n.hardState.Term+1
 	if as == candidate {
@@ -81,6 +81,9 @@
 		if m.Term > n.hardState.Term {
 			n.stepDown(m.Term, ID{})
 		}
+		if n.role == preCandidate {
+			n.votes[m.From] = false
+		}
 		return
 	}
 	if n.role != preCandidate || m.Term != n.hardState.Term+1 {
@@ -97,10 +100,10 @@
 		n.stepDown(m.Term, ID{})
 		return
 	}
-	if n.role != candidate || m.Term != n.hardState.Term || m.Reject {
+	if n.role != candidate || m.Term != n.hardState.Term {
 		return
 	}
-	n.votes[m.From] = true
+	n.votes[m.From] = !m.Reject
 	if n.hasMajorityOfVotes() {
 		n.becomeLeader()
 	}
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -41,7 +41,13 @@
 	leaderHeardAt    clock.Millis
 	leaseGranted     bool
 	electionDeadline clock.Millis
-	votes            map[ID]bool
+	// votes holds the answers of voters in the present campaign: whether each granted its vote.
+	votes map[ID]bool
+	// heardAt is when the last message of each replica arrived, and startedAt when this process started.
+	heardAt   map[ID]clock.Millis
+	startedAt clock.Millis
+	// campaignedAt is when this replica last asked for votes.
+	campaignedAt clock.Millis
 	// lazyReplication is set if the leader's last message announced that the next one may come as
 	// late as Timing.WitnessInterval after it.
 	lazyReplication bool
@@ -81,6 +87,8 @@
 		commitIndex:    r.Meta.Index,
 		appliedIndex:   r.Meta.Index,
 		votes:          map[ID]bool{},
+		heardAt:        map[ID]clock.Millis{},
+		startedAt:      now,
 		progress:       map[ID]*progress{},
 		forwardedReads: map[uint64]clock.Millis{},
 	}
--- a/core/quorum/receive.go
+++ b/core/quorum/receive.go
@@ -5,6 +5,9 @@
 	if m.Group != n.cfg.Group {
 		return
 	}
+	if !n.isFromOtherBootstrap(m) {
+		n.recordHeard(m.From)
+	}
 	switch m.Kind {
 	case KindJoin:
 		n.handleJoin(m)
--- a/vbridged/group/group.go
+++ b/vbridged/group/group.go
@@ -28,9 +28,10 @@
 	roleChanges *queue[RoleChange]
 	done        chan struct{}
 	wg          sync.WaitGroup
-	// batch holds proposals that are proposed together at flushAt. Only runNode uses the two.
+	// batch holds proposals that are proposed together at flushAt. Only runNode uses these and stall.
 	batch           []quorum.Proposal
 	flushAt         clock.Millis
+	stall           stallMonitor
 	nextID          atomic.Uint64
 	droppedMessages atomic.Uint64
 
@@ -164,6 +165,7 @@
 			return
 		case <-ticker.C:
 			g.stepNode(quorum.Tick{})
+			g.logStall()
 		case <-linger.C:
 			g.flushBatch()
 		case <-g.events.ready:
