quorum: replace a lost voter in one joint change

Cause: a voter that was to be replaced lost its vote before its replacement got one. In between, 2f+1 voters were 2f, of which f lost disks leave no majority. In a second shape the smaller membership is committed, and the voter that is back has no vote. So neither a longer timeout, nor taking back what isn't committed, nor declaring a lost replica dead sooner ends the class.

Change: a change of more than one vote is joint: while it is in force, every decision needs a majority of the voters before and after it. Both sets have 2f+1 voters, so f lost disks leave a majority of each at every moment. Elections, commits, leases, read indexes, check-quorum and hasCaughtUpMajority (now hasMajorities with isCaughtUp) use the sets of the membership in force; a voter of either set counts for the witness. A new leader completes a joint membership that it finds. All votes that differ are changed together, and a growing number of voters stays odd.

Weighed: promoting the replacement first (2f+2 voters bear f lost disks, but not the loss of the replacement besides, for which the order was chosen); a longer timeout moves the window.

Formats: only a joint membership is encoded in a new way, which versions before fail to decode; a leader starts none while a member that answers can't read it.

Tests: TestRemovalNeedsMajority and the harness tell that replicas read joint memberships; TestSafety's condition for a lost disk counts all sets of voters.

--- /dev/null
+++ b/core/quorum/change_test.go
@@ -0,0 +1,186 @@
+package quorum
+
+import (
+	"slices"
+	"testing"
+
+	"vanillabridge/core/clock"
+)
+
+// memberChange brings about a change of members in a group that is whole.
+type memberChange struct {
+	name  string
+	group repairGroup
+	// lostDisks is how many disks are lost during the change, besides those that begin loses.
+	lostDisks int
+	// begin returns the replicas that lose their disks again during the change.
+	begin func(*cluster) []*replica
+}
+
+var memberChanges = []memberChange{
+	{"replace a stopped voter of four cores", repairGroups[1], 1, stopFollower},
+	{"replace a stopped voter of five cores", repairGroups[2], 1, stopFollower},
+	{"replace a stopped voter of six cores", repairGroups[4], 2, stopFollower},
+	{"replace a stopped leader of six cores", repairGroups[4], 2, func(cl *cluster) []*replica {
+		cl.leader().stopFor(stopTime)
+		return nil
+	}},
+	{"replace a voter whose disk is lost, five voters", repairGroups[3], 1, loseFollower},
+	{"replace a voter whose disk is lost, six cores", repairGroups[4], 1, loseFollower},
+	{"replace two voters whose disks are lost", repairGroups[4], 0, func(cl *cluster) []*replica {
+		loseFollower(cl)
+		return loseFollower(cl)
+	}},
+	{"lose the replacement too, three cores", repairGroups[0], 0, loseFollowerTwice},
+	{"lose the replacement too, four cores", repairGroups[1], 0, loseFollowerTwice},
+	{"lose the replacement too, six cores", repairGroups[4], 1, loseFollowerTwice},
+	{"replace a stopped voter beside a witness", repairGroups[7], 1, stopFollower},
+	{"replace a witness whose disk is lost", repairGroups[6], 0, func(cl *cluster) []*replica {
+		w := cl.replicaNamed("w")
+		w.loseDisk(500)
+		return []*replica{w}
+	}},
+	{"from three voters to five", repairGroups[2], 1, func(cl *cluster) []*replica { return cl.setTargetVoters(5) }},
+	{"from five voters to three", repairGroups[3], 1, func(cl *cluster) []*replica { return cl.setTargetVoters(3) }},
+}
+
+// stopTime is long enough for a stopped voter to be replaced.
+const stopTime = 3500 * clock.Millisecond
+
+func stopFollower(cl *cluster) []*replica {
+	cl.pickFollower().stopFor(stopTime)
+	return nil
+}
+
+func loseFollower(cl *cluster) []*replica {
+	loseFollowerTwice(cl)
+	return nil
+}
+
+func loseFollowerTwice(cl *cluster) []*replica {
+	r := cl.pickFollower()
+	r.loseDisk(500)
+	return []*replica{r}
+}
+
+func (cl *cluster) setTargetVoters(count int) []*replica {
+	cl.targetVoters = count
+	for _, r := range cl.replicas {
+		r.node.cfg.TargetVoters = count
+	}
+	return nil
+}
+
+// runUntilMembershipEvents advances time until the given number of memberships have been appended or committed at a
+// leader. It reports false if that takes too long.
+func (cl *cluster) runUntilMembershipEvents(count int) bool {
+	type view struct{ inForce, committed uint64 }
+	var last view
+	for end := cl.now + 15*clock.Second; cl.now < end; cl.run(1) {
+		l := cl.leader()
+		if l == nil {
+			continue
+		}
+		s := l.node.CommitStatus()
+		if now := (view{s.MembershipIndex, s.CommittedIndex}); now != last {
+			if last = now; count == 0 {
+				return true
+			}
+			count--
+		}
+		if l.node.log.lastIndex() < l.node.commitIndex+3 && cl.now%40 == 0 {
+			cl.propose(l)
+		}
+	}
+	return false
+}
+
+// combinations returns all selections of count instances.
+func combinations(peers []Peer, count int) [][]Peer {
+	if count == 0 {
+		return [][]Peer{nil}
+	}
+	var out [][]Peer
+	for i, p := range peers {
+		for _, rest := range combinations(peers[i+1:], count-1) {
+			out = append(out, append([]Peer{p}, rest...))
+		}
+	}
+	return out
+}
+
+// Guards against a change of members that leaves the group without a majority for good, if as many disks as it tolerates
+// are lost at any step of the change: when a membership has just been appended, or has just been committed.
+func TestLostDisksAtEachStepOfChange(t *testing.T) {
+	for _, change := range memberChanges {
+		t.Run(change.name, func(t *testing.T) {
+			for step := 0; ; step++ {
+				for _, lost := range combinations(change.group.peers, change.lostDisks) {
+					cl := newRepairCluster(t, 1, change.group)
+					again := change.begin(cl)
+					if !cl.runUntilMembershipEvents(step) {
+						if step < 2 {
+							t.Fatal("the change did not begin")
+						}
+						return
+					}
+					for _, p := range lost {
+						cl.replicaNamed(p.Name).loseDisk(clock.Second)
+					}
+					for _, r := range again {
+						r.loseDisk(clock.Second)
+					}
+					cl.runWithLoad(5 * clock.Second)
+					cl.checkServesAgain()
+				}
+			}
+		})
+	}
+}
+
+// lossDuringReplacement is a sequence of events: a voter is taken away, and once the leader has appended the membership
+// that replaces it, or has committed it if afterCommit is set, other voters lose their disks.
+type lossDuringReplacement struct {
+	name        string
+	group       repairGroup
+	takeAway    func(*cluster, *replica)
+	afterCommit bool
+}
+
+func cutOff(cl *cluster, r *replica) { cl.cutOff(r, 0, stopTime) }
+
+func stop(_ *cluster, r *replica) { r.stopFor(stopTime) }
+
+// Guards against a group that never commits again after one of the sequences that were found to end so: the voter that
+// was taken away is back, but the membership in force needs a voter whose disk is lost (the first three, which are seeds
+// 834001 and 376279 of TestSafety on earlier versions, and review/6), or the voter that is back has no vote (the last).
+func TestVoterIsBackAfterOthersLostTheirDisks(t *testing.T) {
+	for _, c := range []lossDuringReplacement{
+		{"first follower cut off, five cores", repairGroups[2], cutOff, false},
+		{"second follower cut off, five cores", repairGroups[2], cutOff, false},
+		{"follower stopped, four cores", repairGroups[1], stop, false},
+		{"follower stopped, six cores", repairGroups[4], stop, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := newRepairCluster(t, 1, c.group)
+			l := cl.leader()
+			followers := l.node.otherVoters()
+			if c.name == "second follower cut off, five cores" {
+				slices.Reverse(followers)
+			}
+			c.takeAway(cl, cl.replicaNamed(followers[0].Name))
+			before := l.node.inForce().index
+			for l.node.inForce().index == before || c.afterCommit && l.node.commitIndex < l.node.inForce().index {
+				cl.run(1)
+				if cl.now > clock.Minute {
+					t.Fatal("the voter that was taken away is not replaced")
+				}
+			}
+			for _, r := range []*replica{cl.replicaNamed(followers[1].Name), l}[:c.group.lostDisks] {
+				r.loseDisk(clock.Second)
+			}
+			cl.runWithLoad(5 * clock.Second)
+			cl.checkServesAgain()
+		})
+	}
+}
--- a/core/quorum/diagnose.go
+++ b/core/quorum/diagnose.go
@@ -7,6 +7,8 @@
 	// MembershipIndex is the index of the entry with the membership in force, and Members that membership.
 	MembershipIndex uint64
 	Members         Membership
+	// PreviousVoters is set while the membership in force is joint: a majority of them is needed as well.
+	PreviousVoters []ID
 	// CommittedIndex is the index of the newest membership that this replica knows to be committed, and Committed that
 	// membership. Both differ from the membership in force while a change is in progress.
 	CommittedIndex uint64
@@ -30,8 +32,8 @@
 
 // CommitStatus returns what the replica knows about why its group does or does not commit entries.
 func (n *Node) CommitStatus() CommitStatus {
-	newest := n.memberships[len(n.memberships)-1]
-	s := CommitStatus{MembershipIndex: newest.index, Members: newest.members}
+	newest := n.inForce()
+	s := CommitStatus{MembershipIndex: newest.index, Members: newest.members, PreviousVoters: newest.previousVoters}
 	for _, m := range n.memberships {
 		if m.index <= n.commitIndex {
 			s.CommittedIndex, s.Committed = m.index, m.members
--- a/core/quorum/disk.go
+++ b/core/quorum/disk.go
@@ -54,6 +54,7 @@
 
 func (n *Node) holdMessage(m Message, needsLog bool) {
 	m.Group, m.From, m.BootstrapID = n.cfg.Group, n.cfg.Self, n.hardState.BootstrapID
+	m.ReadsJoint = m.Kind == KindAppendReply || m.Kind == KindSnapshotChunkReply
 	if m.Term == 0 {
 		m.Term = n.hardState.Term
 	}
--- a/core/quorum/elect.go
+++ b/core/quorum/elect.go
@@ -110,14 +110,7 @@
 }
 
 func (n *Node) hasMajorityOfVotes() bool {
-	count := 0
-	voters := n.voters()
-	for _, id := range voters {
-		if n.votes[id] {
-			count++
-		}
-	}
-	return count > len(voters)/2
+	return hasMajorities(n.inForce().sets, func(id ID) bool { return n.votes[id] })
 }
 
 // handleTimeoutNow starts an election at once, as the target of a leadership transfer.
--- a/core/quorum/entry.go
+++ b/core/quorum/entry.go
@@ -16,7 +16,8 @@
 	// EntryNoOp is the entry without data that a new leader appends first, because it can commit
 	// entries of earlier terms only together with one of its own term.
 	EntryNoOp
-	// EntryMembership carries a membership, which is in force as soon as it is appended.
+	// EntryMembership carries a membership, which is in force as soon as it is appended. It may be joint: then decisions
+	// need a majority of the voters before the change and one of those after it.
 	EntryMembership
 )
 
--- a/core/quorum/found.go
+++ b/core/quorum/found.go
@@ -124,7 +124,6 @@
 	}
 	n.setTermAndVote(1, ID{})
 	n.hardState.BootstrapID = n.rng.Uint64() | 1
-	e := n.appendEntry(EntryMembership, encodeMembership(m))
-	n.memberships = append(n.memberships, indexedMembership{e.Index, m})
+	n.appendMembershipEntry(membershipEntry{members: m})
 	n.campaign(candidate, false)
 }
--- a/core/quorum/member.go
+++ b/core/quorum/member.go
@@ -1,7 +1,7 @@
 package quorum
 
 import (
-	"github.com/fxamacker/cbor/v2"
+	"slices"
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
@@ -11,25 +11,17 @@
 // joinRequest records when a join request of a replica arrived.
 type joinRequest struct{ receivedAt clock.Millis }
 
-func encodeMembership(m Membership) []byte {
-	b, err := cbor.Marshal(m)
-	if err != nil {
-		panic(err) // Cannot happen: the type holds only strings, numbers and booleans.
-	}
-	return b
-}
-
 // recordMembership puts the membership of an entry in force if the entry is of type
 // EntryMembership.
 func (n *Node) recordMembership(e Entry) error {
 	if e.Kind != EntryMembership {
 		return nil
 	}
-	var m Membership
-	if err := decoder.Unmarshal(e.Data, &m); err != nil {
+	m, err := decodeMembership(e.Data)
+	if err != nil {
 		return fault.Wrap(fault.ErrCorrupt, "decode membership entry at index %d: %v", e.Index, err)
 	}
-	n.memberships = append(n.memberships, indexedMembership{e.Index, m})
+	n.memberships = append(n.memberships, newIndexedMembership(e.Index, m))
 	return nil
 }
 
@@ -47,12 +39,17 @@
 	}
 }
 
-func (n *Node) appendMembership(m Membership) {
-	e := n.appendEntry(EntryMembership, encodeMembership(m))
-	n.memberships = append(n.memberships, indexedMembership{e.Index, m})
+// appendMembership appends a membership at the leader and puts it in force.
+func (n *Node) appendMembership(m membershipEntry) {
+	n.appendMembershipEntry(m)
 	n.syncProgress()
 }
 
+func (n *Node) appendMembershipEntry(m membershipEntry) {
+	e := n.appendEntry(EntryMembership, m.encode())
+	n.memberships = append(n.memberships, newIndexedMembership(e.Index, m))
+}
+
 // tickMembership retries snapshot chunks and starts the next membership change if one is necessary.
 // At most one change is in progress.
 func (n *Node) tickMembership() {
@@ -63,7 +60,7 @@
 	for id, p := range n.progress {
 		n.retrySnapshotChunk(id, p)
 	}
-	committed := n.memberships[len(n.memberships)-1].index <= n.commitIndex
+	committed := n.inForce().index <= n.commitIndex
 	// A change before the first commit of the term could overlap with a change of an earlier
 	// leader.
 	if !committed || n.commitIndex < n.leaderState.noOpIndex || !n.leaderState.transferTarget.IsZero() {
@@ -73,16 +70,25 @@
 		n.appendMembership(next)
 		return
 	}
-	n.transferFromWitness()
+	n.handOverIfUnfit()
 }
 
-func (n *Node) nextMembership() (Membership, bool) {
-	for _, step := range []func() (Membership, bool){n.addLearner, n.promoteLearner, n.removeVoter} {
-		if m, ok := step(); ok {
-			return m, true
-		}
+func (n *Node) nextMembership() (membershipEntry, bool) {
+	if n.inForce().isJoint() {
+		return membershipEntry{members: withoutSuperseded(n.members())}, true
 	}
-	return nil, false
+	if m, ok := n.addLearner(); ok {
+		return membershipEntry{members: m}, true
+	}
+	return n.changeVoters()
+}
+
+// withoutSuperseded leaves out learners whose instance is a voter under another identity, because their disk is lost.
+// Other replicas without a vote stay as learners: they may come back with their log.
+func withoutSuperseded(members Membership) Membership {
+	return slices.DeleteFunc(slices.Clone(members), func(l Member) bool {
+		return !l.Voter && slices.ContainsFunc(members, func(v Member) bool { return v.Voter && v.ID.Name == l.ID.Name })
+	})
 }
 
 // addLearner adds a replica that sent a join request as a learner, in place of learners of the same
@@ -135,12 +141,11 @@
 
 func (m Member) slot() voterSlot { return voterSlot{m.Zone, m.Witness} }
 
-// missingVoters returns how many voters a slot lacks, or the whole group if Config.TargetVoters is
-// set.
+// missingVoters returns how many voters of a membership a slot lacks, or the whole group if Config.TargetVoters is set.
 // It is negative if there are too many.
-func (n *Node) missingVoters(slot voterSlot) int {
+func (n *Node) missingVoters(members Membership, slot voterSlot) int {
 	if n.cfg.TargetVoters > 0 {
-		return n.cfg.TargetVoters - len(n.voters())
+		return n.cfg.TargetVoters - len(members.Voters())
 	}
 	count := 0
 	for _, name := range n.cfg.InitialVoters {
@@ -148,7 +153,7 @@
 			count++
 		}
 	}
-	for _, m := range n.members() {
+	for _, m := range members {
 		if m.Voter && m.slot() == slot {
 			count--
 		}
@@ -156,70 +161,106 @@
 	return count
 }
 
-// promoteLearner makes a caught-up learner a voter if its slot lacks one.
-func (n *Node) promoteLearner() (Membership, bool) {
-	members := n.members()
-	for _, l := range members {
-		if l.Voter || !n.isCaughtUp(l.ID) || n.missingVoters(l.slot()) <= 0 {
-			continue
+// changeVoters returns the membership in which each slot has the voters that it should have: lost ones are exchanged for
+// caught-up learners, missing ones added, and those too many lose their vote. A change of more than one voter is joint.
+//
+// A lost voter is never removed alone, nor is its replacement added alone: in between the group would bear the loss of
+// fewer replicas than its voters are meant for.
+func (n *Node) changeVoters() (membershipEntry, bool) {
+	next := n.demoteSurplus(n.promoteMissing(n.exchangeLost(n.members())))
+	changed := 0
+	for i, m := range n.members() {
+		if next[i].Voter != m.Voter {
+			changed++
 		}
-		l.Voter = true
-		if next := members.With(l); n.hasCaughtUpMajority(next) {
-			return next, true
+	}
+	entry := membershipEntry{members: next, previousVoters: n.members().Voters()}
+	if changed == 0 || !hasMajorities(entry.voterSets(), n.isCaughtUp) {
+		return membershipEntry{}, false
+	}
+	if changed == 1 {
+		return membershipEntry{members: withoutSuperseded(next)}, true
+	}
+	return entry, n.allReadJoint()
+}
+
+// allReadJoint reports whether all members that have answered this leader can read joint memberships. One that can't
+// doesn't acknowledge them, nor any later entry.
+func (n *Node) allReadJoint() bool {
+	for _, p := range n.progress {
+		if p.ackedSentAt != never && !p.readsJoint {
+			return false
 		}
 	}
-	return nil, false
+	return true
 }
 
-// removeVoter demotes or removes a voter that is lost and can be replaced, or that is one too many.
-//
-// A lost voter is removed before its replacement is promoted: with both as voters, the loss of the
-// replacement would leave only two of four voters. The remaining voters must be alive in either
-// order.
-func (n *Node) removeVoter() (Membership, bool) {
-	members := n.members()
-	for _, v := range members {
-		if !v.Voter || v.ID == n.cfg.Self || (n.missingVoters(v.slot()) >= 0 && !n.isReplaceable(v)) {
+// exchangeLost gives the votes of lost voters to caught-up learners of their slots.
+func (n *Node) exchangeLost(members Membership) Membership {
+	next := slices.Clone(members)
+	for i, v := range members {
+		if !v.Voter || n.isAlive(v.ID) {
 			continue
 		}
-		next := members.Without(v.ID)
-		if !n.isSuperseded(v) {
-			// The voter may only be partitioned and return with its log, so it stays as a learner.
-			v.Voter = false
-			next = next.With(v)
-		}
-		if n.hasCaughtUpMajority(next) {
-			return next, true
+		if r := n.findReplacement(next, v); r >= 0 {
+			next[i].Voter, next[r].Voter = false, true
 		}
 	}
-	return nil, false
+	return next
 }
 
-// isReplaceable reports whether a voter is lost and a caught-up learner can take its slot. A
-// learner of the same instance can do so at once, others only after Timing.VoterTimeout.
-func (n *Node) isReplaceable(v Member) bool {
-	if n.isAlive(v.ID) {
-		return false
-	}
-	for _, l := range n.members() {
+// findReplacement returns the position of the learner that should take the vote of a lost voter, or -1. The learner of
+// the same instance can do so at once, because the voter is then gone for good, others only after Timing.VoterTimeout.
+func (n *Node) findReplacement(members Membership, v Member) int {
+	found := -1
+	for i, l := range members {
 		if l.Voter || l.slot() != v.slot() || !n.isCaughtUp(l.ID) {
 			continue
 		}
-		if l.ID.Name == v.ID.Name || n.hasTimedOut(v) {
-			return true
+		if l.ID.Name == v.ID.Name {
+			return i
+		}
+		if found < 0 && n.hasTimedOut(v) {
+			found = i
 		}
 	}
-	return false
+	return found
+}
+
+// promoteMissing gives a vote to caught-up learners whose slot lacks voters. An even number of voters bears no more
+// losses than one voter less, and has one more to lose, so on the way to the intended number it stays odd.
+func (n *Node) promoteMissing(members Membership) Membership {
+	next := slices.Clone(members)
+	last := -1
+	for i, l := range next {
+		if !l.Voter && n.isCaughtUp(l.ID) && n.missingVoters(next, l.slot()) > 0 {
+			next[i].Voter, last = true, i
+		}
+	}
+	if count := len(next.Voters()); last >= 0 && count%2 == 0 && count < n.targetVoters() {
+		next[last].Voter = false
+	}
+	return next
 }
 
-// isSuperseded reports whether another incarnation of a voter's instance is a member.
-func (n *Node) isSuperseded(v Member) bool {
-	for _, m := range n.members() {
-		if m.ID.Name == v.ID.Name && m.ID != v.ID {
-			return true
+func (n *Node) targetVoters() int {
+	if n.cfg.TargetVoters > 0 {
+		return n.cfg.TargetVoters
+	}
+	return len(n.cfg.InitialVoters)
+}
+
+// demoteSurplus takes the vote of voters that are too many, lost ones first. A leader keeps its own.
+func (n *Node) demoteSurplus(members Membership) Membership {
+	next := slices.Clone(members)
+	for _, alive := range []bool{false, true} {
+		for i, v := range next {
+			if v.Voter && v.ID != n.cfg.Self && n.isAlive(v.ID) == alive && n.missingVoters(next, v.slot()) < 0 {
+				next[i].Voter = false
+			}
 		}
 	}
-	return false
+	return next
 }
 
 func (n *Node) hasTimedOut(m Member) bool {
@@ -249,16 +290,3 @@
 	p := n.progress[id]
 	return n.isAlive(id) && p.matchIndex+n.cfg.Limits.LearnerLag >= n.log.lastIndex() && p.matchIndex >= n.leaderState.noOpIndex
 }
-
-// hasCaughtUpMajority reports whether a majority of the voters of a membership is alive and caught
-// up.
-func (n *Node) hasCaughtUpMajority(m Membership) bool {
-	voters := m.Voters()
-	count := 0
-	for _, id := range voters {
-		if n.isCaughtUp(id) {
-			count++
-		}
-	}
-	return count > len(voters)/2
-}
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -59,6 +59,8 @@
 	LazyReplication bool           `cbor:"16,keyasint,omitempty"`
 	CanBootstrap    bool           `cbor:"17,keyasint,omitempty"`
 	Chunk           *SnapshotChunk `cbor:"18,keyasint,omitempty"`
+	// ReadsJoint tells the leader, in each reply, that the sender can read joint memberships. Earlier versions can't.
+	ReadsJoint bool `cbor:"19,keyasint,omitempty"`
 }
 
 // SnapshotChunk is a part of a snapshot. TotalSize and Checksum are those of the whole snapshot
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -69,9 +69,15 @@
 	reportedRole RoleChange
 }
 
+// indexedMembership is the membership of the entry at index. sets are its sets of voters.
 type indexedMembership struct {
-	index   uint64
-	members Membership
+	index uint64
+	membershipEntry
+	sets [][]ID
+}
+
+func newIndexedMembership(index uint64, m membershipEntry) indexedMembership {
+	return indexedMembership{index, m, m.voterSets()}
 }
 
 // New returns a replica that continues from the restored state.
@@ -93,7 +99,7 @@
 		forwardedReads: map[uint64]clock.Millis{},
 	}
 	n.log.reset(r.Meta.Index, r.Meta.Term)
-	n.memberships = []indexedMembership{{r.Meta.Index, r.Meta.Members}}
+	n.memberships = []indexedMembership{newIndexedMembership(r.Meta.Index, membershipEntry{members: r.Meta.Members})}
 	if err := n.restore(r); err != nil {
 		return nil, err
 	}
@@ -237,17 +243,30 @@
 	return clock.Millis(n.rng.Int64N(int64(n.cfg.Timing.ElectionTimeout / 2)))
 }
 
-func (n *Node) members() Membership { return n.memberships[len(n.memberships)-1].members }
+// inForce returns the newest membership of the log.
+func (n *Node) inForce() indexedMembership { return n.memberships[len(n.memberships)-1] }
 
-func (n *Node) isVoter(id ID) bool {
-	m, ok := n.members().Find(id)
-	return ok && m.Voter
-}
+func (n *Node) members() Membership { return n.inForce().members }
+
+func (n *Node) isVoter(id ID) bool { return slices.Contains(n.voters(), id) }
 
-func (n *Node) voters() []ID { return n.members().Voters() }
+// voters returns all replicas that have a vote, those of the previous voters included.
+func (n *Node) voters() []ID {
+	m := n.inForce()
+	if !m.isJoint() {
+		return m.sets[0]
+	}
+	all := slices.Clone(m.sets[0])
+	for _, id := range m.previousVoters {
+		if !slices.Contains(all, id) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
 
 func (n *Node) otherVoters() []ID {
-	return slices.DeleteFunc(n.voters(), func(id ID) bool { return id == n.cfg.Self })
+	return slices.DeleteFunc(slices.Clone(n.voters()), func(id ID) bool { return id == n.cfg.Self })
 }
 
 // State is a replica's view of the group, for status reports and tests. Members must not be
@@ -294,17 +313,19 @@
 }
 
 // SnapshotMetaAt returns the metadata of a snapshot taken after the entry at index was applied. It
-// reports false if that entry is not applied or its term is no longer known.
+// reports false if that entry is not applied or its term is no longer known, or if the membership there is joint, which
+// snapshots don't store.
 func (n *Node) SnapshotMetaAt(index uint64) (SnapshotMeta, bool) {
 	term, ok := n.log.term(index)
 	if !ok || index > n.appliedIndex {
 		return SnapshotMeta{}, false
 	}
 	m := SnapshotMeta{Index: index, Term: term, BootstrapID: n.hardState.BootstrapID}
+	isJoint := false
 	for _, c := range n.memberships {
 		if c.index <= index {
-			m.Members = c.members
+			m.Members, isJoint = c.members, c.isJoint()
 		}
 	}
-	return m, true
+	return m, !isJoint
 }
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -28,6 +28,8 @@
 	sentCommit  uint64
 	needsCommit bool
 	isWitness   bool
+	// readsJoint is set if the member's last answer told that it can read joint memberships.
+	readsJoint bool
 	// nextLazySend is when entries are next replicated to a lazily replicated witness, and
 	// lazyTargetIndex the index up to which they are then; 0 means that none is chosen yet.
 	nextLazySend     clock.Millis
@@ -57,48 +59,34 @@
 	p.probing, p.paused = true, false
 }
 
-// recordContact records that a member answered a request of this leader. A time before the leader's election or in the
+// recordContact records that a member answered a request of this leader, and what it can read. A time before the leader's election or in the
 // future is that of a request of an earlier term, which followers of earlier versions repeat.
 func (n *Node) recordContact(p *progress, m Message) {
+	p.readsJoint = m.ReadsJoint
 	if m.SentAt >= n.leaderState.electedAt && m.SentAt <= n.now {
 		p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
 	}
 }
 
-// majorityValue returns the highest value that a majority of the given values has reached.
-func majorityValue[T clock.Millis | uint64](values []T) T {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[(len(values)-1)/2]
-}
-
 // lastQuorumContact returns the newest time such that a majority of voters answered a request sent
 // at or after it. A voter that has not answered since floor counts as having answered one sent at
 // floor.
 func (n *Node) lastQuorumContact(floor clock.Millis) clock.Millis {
-	var sentTimes []clock.Millis
-	for _, id := range n.voters() {
+	return majorityValue(n.inForce().sets, func(id ID) clock.Millis {
 		if id == n.cfg.Self {
-			sentTimes = append(sentTimes, n.now)
-		} else if p := n.progress[id]; p != nil {
-			sentTimes = append(sentTimes, max(p.ackedSentAt, floor))
+			return n.now
 		}
-	}
-	return majorityValue(sentTimes)
+		return max(n.progress[id].ackedSentAt, floor)
+	})
 }
 
 func (n *Node) advanceCommitIndex() {
-	var matchIndexes []uint64
-	for _, id := range n.voters() {
+	index := majorityValue(n.inForce().sets, func(id ID) uint64 {
 		if id == n.cfg.Self {
-			matchIndexes = append(matchIndexes, n.persistence.stableIndex)
-		} else if p := n.progress[id]; p != nil {
-			matchIndexes = append(matchIndexes, p.matchIndex)
+			return n.persistence.stableIndex
 		}
-	}
-	index := majorityValue(matchIndexes)
+		return n.progress[id].matchIndex
+	})
 	// Only entries of the current term are committed by counting replicas: an entry of an earlier
 	// term may still be replaced although a majority holds it.
 	if term, ok := n.log.term(index); !ok || term != n.hardState.Term || index <= n.commitIndex {
--- a/core/quorum/replica_test.go
+++ b/core/quorum/replica_test.go
@@ -57,7 +57,7 @@
 func (r *replica) start() {
 	r.clockOffset = clock.Millis(r.cluster.rng.IntN(1_000_000))
 	cfg := Config{
-		Group: "g", Self: NewID(r.name, r.incarnation), Peers: r.cluster.peers, InitialVoters: r.cluster.voters, Bootstrap: r.canBootstrap,
+		Group: "g", Self: NewID(r.name, r.incarnation), Peers: r.cluster.peers, InitialVoters: r.cluster.voters, TargetVoters: r.cluster.targetVoters, Bootstrap: r.canBootstrap,
 		Timing: r.cluster.timing, Limits: r.cluster.limits, Seed: r.cluster.rng.Uint64(),
 	}
 	d := r.disk
--- a/core/quorum/rules_test.go
+++ b/core/quorum/rules_test.go
@@ -41,7 +41,7 @@
 	for _, n := range []model.Instance{"a", "b", "c"} {
 		m = m.With(Member{ID: firstID(n), Zone: "z", Voter: true})
 	}
-	r := RestoredState{HardState: HardState{Term: 1, BootstrapID: 9}, Entries: []Entry{{Index: 1, Term: 1, Kind: EntryMembership, Data: encodeMembership(m)}}}
+	r := RestoredState{HardState: HardState{Term: 1, BootstrapID: 9}, Entries: []Entry{{Index: 1, Term: 1, Kind: EntryMembership, Data: membershipEntry{members: m}.encode()}}}
 	for i, term := range terms {
 		r.Entries = append(r.Entries, Entry{Index: uint64(i) + 2, Term: term})
 		r.HardState.Term = term
@@ -93,7 +93,7 @@
 }
 
 func (h *nodeHarness) ack(from model.Instance, index uint64) {
-	h.receive(Message{Kind: KindAppendReply, From: firstID(from), Term: h.node.hardState.Term, Index: index, SentAt: h.now})
+	h.receive(Message{Kind: KindAppendReply, From: firstID(from), Term: h.node.hardState.Term, Index: index, SentAt: h.now, ReadsJoint: true})
 }
 
 // Guards against an entry of an earlier term that is committed by counting replicas: the leader of
@@ -241,10 +241,10 @@
 		n := h.node
 		h.now += 20 * clock.Second
 		n.now = h.now
-		n.appendMembership(n.members().With(Member{ID: firstID("d"), Zone: "z"}))
+		n.appendMembership(membershipEntry{members: n.members().With(Member{ID: firstID("d"), Zone: "z"})})
 		n.cfg.Limits.LearnerLag = 0
 		for _, x := range []model.Instance{"c", "d"} {
-			n.progress[firstID(x)].ackedSentAt = h.now
+			n.progress[firstID(x)].ackedSentAt, n.progress[firstID(x)].readsJoint = h.now, true
 			n.progress[firstID(x)].matchIndex = n.log.lastIndex()
 		}
 		if behind {
--- a/core/quorum/safety_test.go
+++ b/core/quorum/safety_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -141,33 +142,23 @@
 // keepsMajorityWithout reports whether a majority of voters keeps its disks without lost, in every
 // membership that other may use.
 func (f faultInjector) keepsMajorityWithout(other, lost *replica) bool {
-	sets := []Membership{other.disk.members()}
+	sets := other.disk.membership().voterSets()
 	if other.node != nil {
-		sets = append(sets, other.node.members())
+		sets = append(sets, other.node.inForce().sets...)
 	}
-	for _, set := range sets {
-		intact := 0
-		for _, id := range set.Voters() {
-			if r := f.replicaNamed(id.Name); r != lost && r.incarnation == id.Incarnation {
-				intact++
-			}
-		}
-		if voters := len(set.Voters()); voters > 0 && intact <= voters/2 {
-			return false
-		}
-	}
-	return true
+	sets = slices.DeleteFunc(sets, func(voters []ID) bool { return len(voters) == 0 })
+	return hasMajorities(sets, func(id ID) bool {
+		r := f.replicaNamed(id.Name)
+		return r != lost && r.incarnation == id.Incarnation
+	})
 }
 
-// members returns the newest membership on the disk.
-func (d *diskContent) members() Membership {
-	m := d.snapshot.Meta.Members
+// membership returns the newest membership on the disk.
+func (d *diskContent) membership() membershipEntry {
+	m := membershipEntry{members: d.snapshot.Meta.Members}
 	for _, e := range d.entries {
 		if e.Kind == EntryMembership {
-			// Decoding into m would overwrite the membership of the snapshot.
-			var next Membership
-			_ = decoder.Unmarshal(e.Data, &next)
-			m = next
+			m, _ = decodeMembership(e.Data)
 		}
 	}
 	return m
--- a/core/quorum/snapshot.go
+++ b/core/quorum/snapshot.go
@@ -124,7 +124,7 @@
 	n.persistence.unsavedSnapshot = &Snapshot{Meta: meta, Data: n.incomingSnapshot.data}
 	n.incomingSnapshot = incomingSnapshot{}
 	n.log.reset(meta.Index, meta.Term)
-	n.memberships = []indexedMembership{{meta.Index, meta.Members}}
+	n.memberships = []indexedMembership{newIndexedMembership(meta.Index, membershipEntry{members: meta.Members})}
 	n.commitIndex = meta.Index
 	n.persistence.resetForSnapshot()
 	n.adoptBootstrapID(meta.BootstrapID)
--- a/core/quorum/witness.go
+++ b/core/quorum/witness.go
@@ -13,7 +13,7 @@
 // voter has not answered for Timing.WitnessStallTimeout, or the leader itself is a witness.
 func (n *Node) witnessNeedsEntries() bool {
 	for _, m := range n.members() {
-		if !m.Voter || m.Witness || m.ID == n.cfg.Self {
+		if m.Witness || m.ID == n.cfg.Self || !n.isVoter(m.ID) {
 			continue
 		}
 		p := n.progress[m.ID]
@@ -46,8 +46,8 @@
 	return true
 }
 
-// transferFromWitness transfers leadership to another voter if this leader is a witness.
-func (n *Node) transferFromWitness() {
+// handOverIfUnfit transfers leadership to another voter if this leader is a witness.
+func (n *Node) handOverIfUnfit() {
 	if n.isWitness() {
 		n.startLeadershipTransfer()
 	}
--- a/core/quorum/world_test.go
+++ b/core/quorum/world_test.go
@@ -41,8 +41,10 @@
 	queue  []event
 	peers  []Peer
 	voters []model.Instance
-	timing Timing
-	limits Limits
+	// targetVoters is Config.TargetVoters of all replicas.
+	targetVoters int
+	timing       Timing
+	limits       Limits
 	// maxSyncTime is the longest time that a sync takes.
 	maxSyncTime   clock.Millis
 	snapshotEvery uint64
--- a/vbridged/group/apply.go
+++ b/vbridged/group/apply.go
@@ -38,18 +38,19 @@
 			}
 		}
 		if g.snapshotDue(growth) {
-			err := g.takeSnapshot()
-			if errors.Is(err, store.ErrFull) {
-				// The log grows meanwhile; the next attempt is made after as much growth again.
+			taken, err := g.takeSnapshot()
+			full := errors.Is(err, store.ErrFull)
+			if full {
 				klog.InfoS("snapshot not saved: disk is full", "group", g.cfg.Group, "self", g.self.String())
-				err = nil
-			}
-			if err != nil {
+			} else if err != nil {
 				klog.ErrorS(err, "stopping replica: snapshot failed", "group", g.cfg.Group, "self", g.self.String())
 				g.stopWithError(err)
 				return
 			}
-			growth = logGrowth{}
+			// While the disk is full the log grows; the next attempt is made after as much growth again.
+			if taken || full {
+				growth = logGrowth{}
+			}
 		}
 	}
 }
@@ -127,27 +128,28 @@
 	g.wakeWaiters()
 }
 
-// takeSnapshot saves a snapshot of the machine and requests compaction of the log.
-func (g *Group) takeSnapshot() error {
+// takeSnapshot saves a snapshot of the machine and requests compaction of the log. It reports false if none is possible
+// at the last applied entry.
+func (g *Group) takeSnapshot() (bool, error) {
 	g.mu.Lock()
 	index := g.applied
 	g.mu.Unlock()
 	meta, ok := g.snapshotMetaAt(index)
 	if !ok {
-		return nil
+		return false, nil
 	}
 	data, err := g.cfg.Machine.Snapshot()
 	if err != nil {
-		return fault.Wrap(err, "snapshot state machine at index %d", index)
+		return false, fault.Wrap(err, "snapshot state machine at index %d", index)
 	}
 	if err := g.store.SaveSnapshot(quorum.Snapshot{Meta: meta, Data: data}); err != nil {
-		return err
+		return false, err
 	}
 	g.events.push(event{call: func(n *quorum.Node) {
 		g.stepNode(quorum.SnapshotPersisted{Meta: meta})
 		g.writes.push(writeItem{compact: n.State().FirstIndex - 1})
 	}})
-	return nil
+	return true, nil
 }
 
 // snapshotMetaAt asks the node for the snapshot metadata at index.
--- a/vbridged/group/stall.go
+++ b/vbridged/group/stall.go
@@ -65,7 +65,7 @@
 		c := g.node.CommitStatus()
 		klog.InfoS("replica sees no commits", "group", g.cfg.Group, "self", g.self.String(), "for", int64(lasted),
 			"leads", s.IsLeader, "leader", s.LeaderID.Name, "term", s.Term, "commitIndex", s.CommitIndex, "lastIndex", s.LastIndex,
-			"membershipIndex", c.MembershipIndex, "voters", formatIDs(c.Members.Voters()), "learners", formatIDs(c.Members.Learners()),
+			"membershipIndex", c.MembershipIndex, "voters", formatIDs(c.Members.Voters()), "previousVoters", formatIDs(c.PreviousVoters), "learners", formatIDs(c.Members.Learners()),
 			"committedMembershipIndex", c.CommittedIndex, "committedVoters", formatIDs(c.Committed.Voters()),
 			"missing", formatMissing(now, c.MissingVoters), "refusing", formatIDs(c.RefusingVoters))
 	case reportStallEnd:
