quorum: a replica without a vote may be elected

A voter is replaced while it is cut off; the leader ends the joint change, only the replaced voter gets that entry, and the leader loses its disk. The replaced voter has the newest entries, has no vote by its own log and didn't campaign; the others are still under the joint membership, need its vote and are refused, as their logs are shorter. The same arises when a learner has entries of a later term than a replica by whose log it is a voter.

Change: replicas without a vote campaign too, after three election timeouts instead of one. Their own vote doesn't count; the election needs the majorities of the membership in their log, as for any candidate, so that safety is Raft's (dissertation, 4.2.2). Of the replicas that are not lost, the one with the newest entries is then always electable: by its membership a majority of each set of voters is not lost, and none of these has newer entries. A leader without a vote hands over like a witness.

--- a/core/quorum/change_test.go
+++ b/core/quorum/change_test.go
@@ -184,3 +184,58 @@
 		})
 	}
 }
+
+// Guards against a group without a leader for good, because the newest entries are on a replica that has no vote by its
+// own log: the others need its vote by their logs, and it refuses, as theirs are shorter. Here it is the voter that was
+// replaced: only it gets the membership that ends the change, and then the leader loses its disk.
+func TestReplicaWithoutVoteHasNewestEntries(t *testing.T) {
+	g := repairGroups[1]
+	cl := newRepairCluster(t, 1, g)
+	l := cl.leader()
+	replaced := cl.replicaNamed(l.node.otherVoters()[0].Name)
+	cl.links.partitions[replaced.name] = 1
+	runUntil := func(what string, reached func() bool) {
+		for end := cl.now + 20*clock.Second; !reached(); cl.run(1) {
+			if cl.now > end {
+				t.Fatalf("not within 20 s: %s:\n%s", what, cl.dump())
+			}
+		}
+	}
+	runUntil("a joint membership is committed", func() bool {
+		return l.node.inForce().isJoint() && l.node.commitIndex >= l.node.inForce().index
+	})
+	joint := l.node.inForce().index
+	clear(cl.links.partitions)
+	runUntil("the change ends", func() bool { return l.node.inForce().index > joint })
+	cl.setPartition(l.name, replaced.name)
+	runUntil("the replaced voter learns of it", func() bool { return replaced.node.inForce().index > joint })
+	l.loseDisk(clock.Second)
+	cl.runWithLoad(clock.Second)
+	for _, r := range cl.replicas {
+		if r != replaced && r != l && r.node.inForce().index != joint {
+			t.Fatalf("%s has another membership in force than the joint one:\n%s", r.name, cl.dump())
+		}
+	}
+	cl.checkServesAgain()
+	if l := cl.waitForLeader(clock.Second); !l.node.isVoter(l.node.cfg.Self) {
+		t.Errorf("%s leads without a vote and didn't hand over", l.name)
+	}
+}
+
+// Guards against a replica without a vote that leads though a voter can win the election.
+func TestVoterIsElectedBeforeReplicaWithoutVote(t *testing.T) {
+	for seed := range uint64(40) {
+		cl := newRepairCluster(t, seed, repairGroups[2])
+		l := cl.leader()
+		voters := l.node.voters()
+		before := l.node.hardState.Term
+		l.crash(0)
+		cl.runWithLoad(8 * clock.Second)
+		for term, id := range cl.leaders {
+			if term > before && !slices.Contains(voters, id) {
+				t.Errorf("seed %d: %s without a vote led term %d", seed, id, term)
+			}
+		}
+		cl.waitForLeader(clock.Second)
+	}
+}
--- a/core/quorum/elect.go
+++ b/core/quorum/elect.go
@@ -1,7 +1,15 @@
 package quorum
 
+// nonVoterElectionTimeouts is how many election timeouts a replica without a vote waits before it starts an election, so
+// that a voter can win first.
+const nonVoterElectionTimeouts = 3
+
 // campaign requests votes from the other voters: as preCandidate it asks whether they would vote
 // for this replica, as candidate it increments the term and asks for the votes.
+//
+// Replicas without a vote campaign too, although their own doesn't count. One of them may have the newest entries, and
+// replicas that lack these may need its vote: it has lost its vote by a membership that only it has received, or would
+// get one by a membership that it lacks.
 func (n *Node) campaign(as role, ignoreLease bool) {
 	n.role, n.leaderID, n.campaignedAt = as, ID{}, n.now
 	clear(n.votes)
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -214,11 +214,11 @@
 		return
 	}
 	n.resetElectionDeadline()
-	if !n.isVoter(n.cfg.Self) {
+	if len(n.voters()) == 0 {
 		return
 	}
 	n.campaign(preCandidate, false)
-	if !n.isWitness() {
+	if n.isVoter(n.cfg.Self) && !n.isWitness() {
 		// The lease granted to the previous leader has ended, so a failed campaign is retried
 		// after a shorter time.
 		n.electionDeadline = n.now + n.cfg.Timing.ElectionTimeout/4 + n.jitter()
@@ -228,12 +228,14 @@
 // resetElectionDeadline sets the time of the next election to a randomized timeout from now.
 func (n *Node) resetElectionDeadline() {
 	wait := n.cfg.Timing.ElectionTimeout
-	if n.isWitness() {
-		// A witness waits longer, so that another voter can win the election first.
+	switch {
+	case !n.isVoter(n.cfg.Self):
+		wait *= nonVoterElectionTimeouts
+	case n.isWitness():
 		wait *= witnessElectionTimeouts
-		if n.lazyReplication {
-			wait += n.cfg.Timing.WitnessInterval
-		}
+	}
+	if n.isWitness() && n.lazyReplication {
+		wait += n.cfg.Timing.WitnessInterval
 	}
 	n.electionDeadline = n.now + wait + n.jitter()
 }
--- a/core/quorum/witness.go
+++ b/core/quorum/witness.go
@@ -46,9 +46,9 @@
 	return true
 }
 
-// handOverIfUnfit transfers leadership to another voter if this leader is a witness.
+// handOverIfUnfit transfers leadership to another voter if this leader is a witness or has no vote.
 func (n *Node) handOverIfUnfit() {
-	if n.isWitness() {
+	if n.isWitness() || !n.isVoter(n.cfg.Self) {
 		n.startLeadershipTransfer()
 	}
 }
