--- a/core/quorum/bench_test.go
+++ b/core/quorum/bench_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"testing"
 
 	"vanillabridge/core/clock"
@@ -62,3 +63,33 @@
 	}
 	return sum
 }
+
+// BenchmarkReplacement measures the simulated time from the loss of a voter until a membership without it and with as many
+// voters as before is committed: with a spare replica if the voter stays away, or by its own instance, which is back with an
+// empty disk after a second.
+func BenchmarkReplacement(b *testing.B) {
+	for name, lose := range map[string]func(*replica){
+		"spare":    func(r *replica) { r.crash(0) },
+		"instance": func(r *replica) { r.loseDisk(clock.Second) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			var sum, worst clock.Millis
+			for i := range b.N {
+				cl := newRepairCluster(b, uint64(i), repairGroup{peers: peersInOneZone("a", "b", "c", "d"), initialVoters: 3, targetVoters: 3})
+				lost, start := cl.pickFollower(), cl.now
+				id := lost.node.cfg.Self
+				lose(lost)
+				for isReplaced := false; !isReplaced; cl.run(10) {
+					if l := cl.leader(); l != nil {
+						s := l.node.CommitStatus()
+						voters := s.Committed.Voters()
+						isReplaced = s.CommittedIndex == s.MembershipIndex && len(s.PreviousVoters) == 0 && len(voters) == 3 && !slices.Contains(voters, id)
+					}
+				}
+				sum, worst = sum+cl.now-start, max(worst, cl.now-start)
+			}
+			b.ReportMetric(float64(sum)/float64(b.N), "mean-ms")
+			b.ReportMetric(float64(worst), "worst-ms")
+		})
+	}
+}
