quorum: a lost member of an earlier version doesn't hold up its replacement

A leader starts no joint change while a member that can't read it has answered it; a member of the version before that is lost for good would have held up its own replacement until another leader. Only members that answered within the voter timeout count now. TestJointChangeWaitsForMembersOfEarlierVersion, with the lost voter of the version before, failed before.

TestGroupServesOnceEarlierVersionIsUpgraded shows the mixed cell of docs/replication.md: such a replica comes back in the middle of a joint change, the group waits, and serves once it is upgraded.

--- a/core/quorum/compat_test.go
+++ b/core/quorum/compat_test.go
@@ -88,7 +88,7 @@
 }
 
 // Guards against an entry that a member of an earlier version can't read, and so never acknowledges: the leader starts a
-// joint change only once every member that answers it can read it.
+// joint change only once every member that answers it can read it. One that is lost, here b, doesn't hold it up.
 func TestJointChangeWaitsForMembersOfEarlierVersion(t *testing.T) {
 	h := restoredNode(t, 2, 2)
 	h.elect()
@@ -97,6 +97,7 @@
 	h.now += 20 * clock.Second
 	n.now = h.now
 	n.appendMembership(membershipEntry{members: n.members().With(Member{ID: firstID("d"), Zone: "z"})})
+	n.progress[firstID("b")].readsJoint = false
 	for _, readsJoint := range []bool{false, true} {
 		for _, name := range []model.Instance{"c", "d"} {
 			p := n.progress[firstID(name)]
@@ -125,3 +126,25 @@
 		}
 	}
 }
+
+// Guards against a replica of an earlier version that commits under another rule, or harms the group, when it is back in the
+// middle of a joint change that needs it: the group may have to wait, but only until that replica is upgraded.
+func TestGroupServesOnceEarlierVersionIsUpgraded(t *testing.T) {
+	cl := newRepairCluster(t, 1, repairGroups[1])
+	leader := cl.leader()
+	followers := leader.node.otherVoters()
+	earlier, lost := cl.replicaNamed(followers[0].Name), cl.replicaNamed(followers[1].Name)
+	earlier.crash(0)
+	cl.runWithLoad(cl.timing.VoterTimeout - 400)
+	lost.loseDisk(clock.Second)
+	cl.runWithLoad(clock.Second)
+	earlier.isEarlierVersion = true
+	earlier.start()
+	cl.runWithLoad(20 * clock.Second)
+	if earlier.node.inForce().isJoint() || !leader.node.inForce().isJoint() {
+		t.Fatalf("the group is not in the middle of a joint change that %s can't read:\n%s", earlier.name, cl.dump())
+	}
+	earlier.isEarlierVersion = false
+	earlier.restart()
+	cl.checkServesAgain()
+}
--- a/core/quorum/member.go
+++ b/core/quorum/member.go
@@ -184,11 +184,11 @@
 	return entry, n.allReadJoint()
 }
 
-// allReadJoint reports whether all members that have answered this leader can read joint memberships. One that can't
-// doesn't acknowledge them, nor any later entry.
+// allReadJoint reports whether all members that have answered this leader, and are not lost since, can read joint
+// memberships. One that can't doesn't acknowledge them, nor any later entry.
 func (n *Node) allReadJoint() bool {
-	for _, p := range n.progress {
-		if p.ackedSentAt != never && !p.readsJoint {
+	for _, m := range n.members() {
+		if p := n.progress[m.ID]; p != nil && p.isActive(n.now, n.voterTimeout(m)) && !p.readsJoint {
 			return false
 		}
 	}
@@ -268,11 +268,16 @@
 	if p == nil {
 		return false
 	}
-	limit := n.cfg.Timing.VoterTimeout
+	limit := n.voterTimeout(m)
+	return !p.isActive(n.now, limit) && n.now-n.leaderState.electedAt > limit
+}
+
+// voterTimeout returns how long a voter may leave the leader without an answer. A witness is not always sent messages.
+func (n *Node) voterTimeout(m Member) clock.Millis {
 	if m.Witness {
-		limit += n.cfg.Timing.WitnessInterval
+		return n.cfg.Timing.VoterTimeout + n.cfg.Timing.WitnessInterval
 	}
-	return !p.isActive(n.now, limit) && n.now-n.leaderState.electedAt > limit
+	return n.cfg.Timing.VoterTimeout
 }
 
 func (n *Node) isAlive(id ID) bool {
--- a/core/quorum/replica_test.go
+++ b/core/quorum/replica_test.go
@@ -27,6 +27,8 @@
 	appliedIndex uint64
 	lastReadID   uint64
 	canBootstrap bool
+	// isEarlierVersion makes the replica one that can't read joint memberships.
+	isEarlierVersion bool
 }
 
 // diskContent is the durable state of a replica.
@@ -103,6 +105,9 @@
 
 // deliver passes an input to the node, after resume if the replica is paused.
 func (r *replica) deliver(in Input) {
+	if m, ok := in.(Receive); ok && r.isEarlierVersion && m.Message.hasJointEntry() {
+		return
+	}
 	gen := r.generation
 	do := func() {
 		if r.generation == gen && r.node != nil {
@@ -116,10 +121,18 @@
 	do()
 }
 
+func (m Message) hasJointEntry() bool {
+	return slices.ContainsFunc(m.Entries, func(e Entry) bool {
+		content, err := decodeMembership(e.Data)
+		return e.Kind == EntryMembership && err == nil && content.isJoint()
+	})
+}
+
 func (r *replica) handleOutputs(out []Output) {
 	for _, o := range out {
 		switch o := o.(type) {
 		case Send:
+			o.Message.ReadsJoint = o.Message.ReadsJoint && !r.isEarlierVersion
 			r.cluster.send(r, o)
 		case Persist:
 			r.unsynced = append(r.unsynced, o)
