--- a/core/plan/phase.go
+++ b/core/plan/phase.go
@@ -21,6 +21,8 @@
 	closed      bool // its end has been logged
 	// started is set once a worker has confirmed the start of a task.
 	started bool
+	// blamedWorkers holds the workers that failures of the job have counted against since its last success.
+	blamedWorkers map[model.WorkerID]bool
 }
 
 // step is one step in one occurrence of a job.
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -237,7 +237,7 @@
 	if st.spec.DataRack != "" && w.Rack != st.spec.DataRack {
 		cost += 10
 	}
-	if w.health.failedJobs[st.name.Job] {
+	if _, failed := w.health.failedJobs[st.name.Job]; failed {
 		cost += 5
 	}
 	if st.isFar(w) {
