quorum, group: a witness in a calm group doesn't log that it sees no commits

Found on reading the diff: a witness to which entries are replicated lazily learns only with the next ones, half a minute later, that its last entries are committed, and would have logged a stall each time. State.ExpectsCommit leaves it out. A leader's line lists no refusing voters any more, which were those of the campaign that it won.

TestCalmReplicasExpectNoCommitForLong fails without the condition (w has expected a commit for 2 s).

--- a/core/quorum/diagnose.go
+++ b/core/quorum/diagnose.go
@@ -16,7 +16,7 @@
 	// MissingVoters lists the voters of the membership in force that this replica has not heard from for an election
 	// timeout. A replica hears from all voters only while it leads or asks for votes, so otherwise the list is empty.
 	MissingVoters []MissingVoter
-	// RefusingVoters lists the voters that refused this replica their vote in its present campaign.
+	// RefusingVoters lists the voters that refused this replica their vote in its last campaign, unless it leads.
 	RefusingVoters []ID
 }
 
@@ -40,17 +40,17 @@
 		}
 	}
 	if n.role == leader || n.campaignedAt > n.leaderHeardAt {
-		s.MissingVoters = n.silentVoters()
+		s.MissingVoters = n.missingVoterList()
 	}
 	for _, id := range n.voters() {
-		if granted, answered := n.votes[id]; answered && !granted {
+		if granted, answered := n.votes[id]; answered && !granted && n.role != leader {
 			s.RefusingVoters = append(s.RefusingVoters, id)
 		}
 	}
 	return s
 }
 
-func (n *Node) silentVoters() []MissingVoter {
+func (n *Node) missingVoterList() []MissingVoter {
 	var missing []MissingVoter
 	for _, id := range n.otherVoters() {
 		since := max(n.heardAt[id], n.expectsAnswersSince())
--- a/core/quorum/diagnose_test.go
+++ b/core/quorum/diagnose_test.go
@@ -61,3 +61,31 @@
 		t.Errorf("refusing voters (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against replicas that seem to miss commits in a calm group: a witness learns late, by design, that its entries are
+// committed.
+func TestCalmReplicasExpectNoCommitForLong(t *testing.T) {
+	cl := newCluster(t, 1, peersWithWitness(), 3)
+	cl.limits = DefaultLimits()
+	cl.waitForLeader(5 * clock.Second)
+	cl.run(cl.timing.WitnessInterval + 5*clock.Second)
+	l := cl.waitForLeader(clock.Second)
+	calmAt, committed := map[*replica]clock.Millis{}, map[*replica]uint64{}
+	lagged := false
+	for end := cl.now + 100*clock.Second; cl.now < end; cl.run(10) {
+		cl.propose(l)
+		for _, r := range cl.replicas {
+			s := r.node.State()
+			lagged = lagged || s.LastIndex > s.CommitIndex
+			if !s.ExpectsCommit || s.CommitIndex != committed[r] {
+				calmAt[r], committed[r] = cl.now, s.CommitIndex
+			}
+			if cl.now-calmAt[r] >= 2*cl.timing.ElectionTimeout {
+				t.Fatalf("%s has expected a commit for %v in a calm group:\n%s", r.name, cl.now-calmAt[r], cl.dump())
+			}
+		}
+	}
+	if !lagged {
+		t.Error("no replica was behind with its commit index, so the test shows nothing")
+	}
+}
--- a/core/quorum/member.go
+++ b/core/quorum/member.go
@@ -164,8 +164,8 @@
 // changeVoters returns the membership in which each slot has the voters that it should have: lost ones are exchanged for
 // caught-up learners, missing ones added, and those too many lose their vote. A change of more than one voter is joint.
 //
-// A lost voter is never removed alone, nor is its replacement added alone: in between the group would bear the loss of
-// fewer replicas than its voters are meant for.
+// A voter that is to be replaced is never removed alone, nor is its replacement added alone: in between, the group would
+// bear the loss of fewer disks than it is meant to.
 func (n *Node) changeVoters() (membershipEntry, bool) {
 	next := n.demoteSurplus(n.promoteMissing(n.exchangeLost(n.members())))
 	changed := 0
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -288,6 +288,9 @@
 	// StepDownAt is when the leader steps down unless a majority answers before, by the replica's
 	// clock; 0 on other replicas.
 	StepDownAt clock.Millis
+	// ExpectsCommit is set while the replica knows no leader, or holds entries of which it should learn soon that they are
+	// committed. A witness to which entries are replicated lazily learns of it late.
+	ExpectsCommit bool
 	// SendingSnapshot is set while a snapshot is being transferred to at least one follower.
 	SendingSnapshot bool
 }
@@ -305,6 +308,7 @@
 		Members:      n.members(),
 		LeaseEnd:     n.leaseEnd(),
 	}
+	s.ExpectsCommit = n.leaderID.IsZero() || s.LastIndex > s.CommitIndex && !n.lazyReplication
 	if n.role == leader {
 		s.StepDownAt = n.lastQuorumContact(n.leaderState.electedAt) + n.cfg.Timing.ElectionTimeout
 	}
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -59,8 +59,8 @@
 	p.probing, p.paused = true, false
 }
 
-// recordContact records that a member answered a request of this leader, and what it can read. A time before the leader's election or in the
-// future is that of a request of an earlier term, which followers of earlier versions repeat.
+// recordContact records that a member answered a request of this leader, and what it can read. A time before the leader's
+// election or in the future is that of a request of an earlier term, which followers of earlier versions repeat.
 func (n *Node) recordContact(p *progress, m Message) {
 	p.readsJoint = m.ReadsJoint
 	if m.SentAt >= n.leaderState.electedAt && m.SentAt <= n.now {
--- a/vbridged/group/stall.go
+++ b/vbridged/group/stall.go
@@ -36,10 +36,9 @@
 )
 
 // observe takes the state of the replica at a time and returns what is to be logged, and how long the stall lasts. A
-// replica sees a stall while it knows no leader or holds entries that are not committed, and the commit index stays.
+// replica sees a stall while it expects a commit and the commit index stays.
 func (m *stallMonitor) observe(now clock.Millis, s quorum.State, electionTimeout clock.Millis) (stallReport, clock.Millis) {
-	waits := s.LeaderID.IsZero() || s.LastIndex > s.CommitIndex
-	if m.since == 0 || !waits || s.CommitIndex != m.commitIndex {
+	if m.since == 0 || !s.ExpectsCommit || s.CommitIndex != m.commitIndex {
 		lasted, logged := now-m.since, m.loggedAt > 0
 		*m = stallMonitor{commitIndex: s.CommitIndex, since: now}
 		if logged {
