--- a/core/quorum/change_test.go
+++ b/core/quorum/change_test.go
@@ -18,30 +18,30 @@
 }
 
 var memberChanges = []memberChange{
-	{"replace a stopped voter of four cores", repairGroups[1], 1, stopFollower},
-	{"replace a stopped voter of five cores", repairGroups[2], 1, stopFollower},
-	{"replace a stopped voter of six cores", repairGroups[4], 2, stopFollower},
-	{"replace a stopped leader of six cores", repairGroups[4], 2, func(cl *cluster) []*replica {
+	{"replace a stopped voter of four cores", fourCores, 1, stopFollower},
+	{"replace a stopped voter of five cores", fiveCores, 1, stopFollower},
+	{"replace a stopped voter of six cores", sixCores, 2, stopFollower},
+	{"replace a stopped leader of six cores", sixCores, 2, func(cl *cluster) []*replica {
 		cl.leader().stopFor(stopTime)
 		return nil
 	}},
-	{"replace a voter whose disk is lost, five voters", repairGroups[3], 1, loseFollower},
-	{"replace a voter whose disk is lost, six cores", repairGroups[4], 1, loseFollower},
-	{"replace two voters whose disks are lost", repairGroups[4], 0, func(cl *cluster) []*replica {
+	{"replace a voter whose disk is lost, five voters", fiveVoters, 1, loseFollower},
+	{"replace a voter whose disk is lost, six cores", sixCores, 1, loseFollower},
+	{"replace two voters whose disks are lost", sixCores, 0, func(cl *cluster) []*replica {
 		loseFollower(cl)
 		return loseFollower(cl)
 	}},
-	{"lose the replacement too, three cores", repairGroups[0], 0, loseFollowerTwice},
-	{"lose the replacement too, four cores", repairGroups[1], 0, loseFollowerTwice},
-	{"lose the replacement too, six cores", repairGroups[4], 1, loseFollowerTwice},
-	{"replace a stopped voter beside a witness", repairGroups[7], 1, stopFollower},
-	{"replace a witness whose disk is lost", repairGroups[6], 0, func(cl *cluster) []*replica {
+	{"lose the replacement too, three cores", threeCores, 0, loseFollowerTwice},
+	{"lose the replacement too, four cores", fourCores, 0, loseFollowerTwice},
+	{"lose the replacement too, six cores", sixCores, 1, loseFollowerTwice},
+	{"replace a stopped voter beside a witness", withWitnessAndSpare, 1, stopFollower},
+	{"replace a witness whose disk is lost", withWitness, 0, func(cl *cluster) []*replica {
 		w := cl.replicaNamed("w")
 		w.loseDisk(500)
 		return []*replica{w}
 	}},
-	{"from three voters to five", repairGroups[2], 1, func(cl *cluster) []*replica { return cl.setTargetVoters(5) }},
-	{"from five voters to three", repairGroups[3], 1, func(cl *cluster) []*replica { return cl.setTargetVoters(3) }},
+	{"from three voters to five", fiveCores, 1, func(cl *cluster) []*replica { return cl.setTargetVoters(5) }},
+	{"from five voters to three", fiveVoters, 1, func(cl *cluster) []*replica { return cl.setTargetVoters(3) }},
 }
 
 // stopTime is long enough for a stopped voter to be replaced.
@@ -156,10 +156,10 @@
 // 834001 and 376279 of TestSafety on earlier versions, and review/6), or the voter that is back has no vote (the last).
 func TestVoterIsBackAfterOthersLostTheirDisks(t *testing.T) {
 	for _, c := range []lossDuringReplacement{
-		{"first follower cut off, five cores", repairGroups[2], cutOff, false},
-		{"second follower cut off, five cores", repairGroups[2], cutOff, false},
-		{"follower stopped, four cores", repairGroups[1], stop, false},
-		{"follower stopped, six cores", repairGroups[4], stop, true},
+		{"first follower cut off, five cores", fiveCores, cutOff, false},
+		{"second follower cut off, five cores", fiveCores, cutOff, false},
+		{"follower stopped, four cores", fourCores, stop, false},
+		{"follower stopped, six cores", sixCores, stop, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			cl := newRepairCluster(t, 1, c.group)
@@ -189,7 +189,7 @@
 // own log: the others need its vote by their logs, and it refuses, as theirs are shorter. Here it is the voter that was
 // replaced: only it gets the membership that ends the change, and then the leader loses its disk.
 func TestReplicaWithoutVoteHasNewestEntries(t *testing.T) {
-	g := repairGroups[1]
+	g := fourCores
 	cl := newRepairCluster(t, 1, g)
 	l := cl.leader()
 	replaced := cl.replicaNamed(l.node.otherVoters()[0].Name)
@@ -225,7 +225,7 @@
 // Guards against a replica without a vote that leads though a voter can win the election.
 func TestVoterIsElectedBeforeReplicaWithoutVote(t *testing.T) {
 	for seed := range uint64(40) {
-		cl := newRepairCluster(t, seed, repairGroups[2])
+		cl := newRepairCluster(t, seed, fiveCores)
 		l := cl.leader()
 		voters := l.node.voters()
 		before := l.node.hardState.Term
--- a/core/quorum/compat_test.go
+++ b/core/quorum/compat_test.go
@@ -130,7 +130,7 @@
 // Guards against a replica of an earlier version that commits under another rule, or harms the group, when it is back in the
 // middle of a joint change that needs it: the group may have to wait, but only until that replica is upgraded.
 func TestGroupServesOnceEarlierVersionIsUpgraded(t *testing.T) {
-	cl := newRepairCluster(t, 1, repairGroups[1])
+	cl := newRepairCluster(t, 1, fourCores)
 	leader := cl.leader()
 	followers := leader.node.otherVoters()
 	earlier, lost := cl.replicaNamed(followers[0].Name), cl.replicaNamed(followers[1].Name)
--- a/core/quorum/lostdisk_test.go
+++ b/core/quorum/lostdisk_test.go
@@ -19,16 +19,17 @@
 	lostDisks     int
 }
 
-var repairGroups = []repairGroup{
-	{"three", peersInOneZone("a", "b", "c"), 3, 3, 1},
-	{"four", peersInOneZone("a", "b", "c", "d"), 3, 3, 1},
-	{"five with three voters", peersInOneZone("a", "b", "c", "d", "e"), 3, 3, 1},
-	{"five", peersInOneZone("a", "b", "c", "d", "e"), 5, 5, 2},
-	{"six", peersInOneZone("a", "b", "c", "d", "e", "f"), 5, 5, 2},
-	{"seven", peersInOneZone("a", "b", "c", "d", "e", "f", "g"), 5, 5, 2},
-	{"witness", peersWithWitness(), 3, 0, 1},
-	{"witness and spare", append(peersWithWitness(), Peer{Name: "x", Zone: "z"}), 3, 0, 1},
-}
+var (
+	threeCores          = repairGroup{"three", peersInOneZone("a", "b", "c"), 3, 3, 1}
+	fourCores           = repairGroup{"four", peersInOneZone("a", "b", "c", "d"), 3, 3, 1}
+	fiveCores           = repairGroup{"five with three voters", peersInOneZone("a", "b", "c", "d", "e"), 3, 3, 1}
+	fiveVoters          = repairGroup{"five", peersInOneZone("a", "b", "c", "d", "e"), 5, 5, 2}
+	sixCores            = repairGroup{"six", peersInOneZone("a", "b", "c", "d", "e", "f"), 5, 5, 2}
+	sevenCores          = repairGroup{"seven", peersInOneZone("a", "b", "c", "d", "e", "f", "g"), 5, 5, 2}
+	withWitness         = repairGroup{"witness", peersWithWitness(), 3, 0, 1}
+	withWitnessAndSpare = repairGroup{"witness and spare", append(peersWithWitness(), Peer{Name: "x", Zone: "z"}), 3, 0, 1}
+	repairGroups        = []repairGroup{threeCores, fourCores, fiveCores, fiveVoters, sixCores, sevenCores, withWitness, withWitnessAndSpare}
+)
 
 // maxRecovery is the time after the end of all faults within which a group has to serve again.
 const maxRecovery = 12 * clock.Second
@@ -89,7 +90,7 @@
 // waitForFullGroup waits until as many voters as intended have a vote, and each is a running replica.
 func (cl *cluster) waitForFullGroup(g repairGroup) {
 	cl.t.Helper()
-	want := max(g.targetVoters, g.initialVoters)
+	want := g.initialVoters
 	if g.targetVoters > 0 {
 		want = g.targetVoters
 	}
