--- a/core/quorum/compat_test.go
+++ b/core/quorum/compat_test.go
@@ -90,13 +90,8 @@
 // Guards against an entry that a member of an earlier version can't read, and so never acknowledges: the leader starts a
 // joint change only once every member that answers it can read it. One that is lost, here b, doesn't hold it up.
 func TestJointChangeWaitsForMembersOfEarlierVersion(t *testing.T) {
-	h := restoredNode(t, 2, 2)
-	h.elect()
-	h.ack("b", 4)
+	h := electedWithLostVoter(t)
 	n := h.node
-	h.now += 20 * clock.Second
-	n.now = h.now
-	n.appendMembership(membershipEntry{members: n.members().With(Member{ID: firstID("d"), Zone: "z"})})
 	n.progress[firstID("b")].readsJoint = false
 	for _, readsJoint := range []bool{false, true} {
 		for _, name := range []model.Instance{"c", "d"} {
--- a/core/quorum/rules_test.go
+++ b/core/quorum/rules_test.go
@@ -231,18 +231,25 @@
 	}
 }
 
+// electedWithLostVoter returns a leader under voters a, b and c and learner d that b has not answered for 20 s.
+func electedWithLostVoter(t *testing.T) *nodeHarness {
+	h := restoredNode(t, 2, 2)
+	h.elect()
+	h.ack("b", 4)
+	n := h.node
+	h.now += 20 * clock.Second
+	n.now = h.now
+	n.appendMembership(membershipEntry{members: n.members().With(Member{ID: firstID("d"), Zone: "z"})})
+	n.cfg.Limits.LearnerLag = 0
+	return h
+}
+
 // Guards against the removal of a lost voter while no majority of the remaining voters is caught
 // up.
 func TestRemovalNeedsMajority(t *testing.T) {
 	for _, behind := range []bool{true, false} {
-		h := restoredNode(t, 2, 2)
-		h.elect()
-		h.ack("b", 4)
+		h := electedWithLostVoter(t)
 		n := h.node
-		h.now += 20 * clock.Second
-		n.now = h.now
-		n.appendMembership(membershipEntry{members: n.members().With(Member{ID: firstID("d"), Zone: "z"})})
-		n.cfg.Limits.LearnerLag = 0
 		for _, x := range []model.Instance{"c", "d"} {
 			n.progress[firstID(x)].ackedSentAt, n.progress[firstID(x)].readsJoint = h.now, true
 			n.progress[firstID(x)].matchIndex = n.log.lastIndex()
