--- a/core/quorum/handover.go
+++ b/core/quorum/handover.go
@@ -44,3 +44,10 @@
 		n.send(Message{Kind: KindTimeoutNow, To: n.leaderState.transferTarget})
 	}
 }
+
+// handOverIfUnfit transfers leadership to another voter if this leader is a witness or has no vote.
+func (n *Node) handOverIfUnfit() {
+	if n.isWitness() || !n.isVoter(n.cfg.Self) {
+		n.startLeadershipTransfer()
+	}
+}
--- a/core/quorum/member.go
+++ b/core/quorum/member.go
@@ -39,12 +39,13 @@
 	}
 }
 
-// appendMembership appends a membership at the leader and puts it in force.
+// appendMembership appends a membership at the leader and starts to replicate to its new members.
 func (n *Node) appendMembership(m membershipEntry) {
 	n.appendMembershipEntry(m)
 	n.syncProgress()
 }
 
+// appendMembershipEntry appends a membership and puts it in force, at a leader or at the replica that bootstraps the group.
 func (n *Node) appendMembershipEntry(m membershipEntry) {
 	e := n.appendEntry(EntryMembership, m.encode())
 	n.memberships = append(n.memberships, newIndexedMembership(e.Index, m))
--- a/core/quorum/witness.go
+++ b/core/quorum/witness.go
@@ -45,10 +45,3 @@
 	p.nextLazySend, p.lazyTargetIndex = n.now+n.cfg.Timing.WitnessInterval, 0
 	return true
 }
-
-// handOverIfUnfit transfers leadership to another voter if this leader is a witness or has no vote.
-func (n *Node) handOverIfUnfit() {
-	if n.isWitness() || !n.isVoter(n.cfg.Self) {
-		n.startLeadershipTransfer()
-	}
-}
