--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 
 var cases = map[string]func(*Recorder) int{
 	"dropped":   droppedRoute,
+	"partial":   partialHeartbeats,
 	"moved":     movedQueue,
 	"cancelled": cancelledJobs,
 }
