ledger: a submission that arrives after its cancellation is cancelled

Cause: Cancel answered OutcomeNoJob for an identifier that isn't known and left the state as it was. A submission that was still on its way, at a front that stood still, on a slow link or as a repeat, was then accepted as a new job and ran. A submission that meets one is accepted as a cancelled job, which is the state that the same two requests reach in the other order. Tombstones expire with the records of ended jobs. Each team has an equal part of 65,536, and its own oldest one is dropped for want of room; a tombstone is a hash, so long identifiers take no more. RecordTombstones begins this, and no one proposes it yet. Ruled out: another effect of the Cancel entries that are in logs already (replicas that replay them would differ); the leader's memory alone (the tombstone has to survive its loss).

--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -10,7 +10,7 @@
 )
 
 // Command is a change of the replicated state: one of Configure, Submit, Cancel, RegisterWorker,
-// RemoveWorker, Assign, Settle and PruneJobs.
+// RemoveWorker, Assign, Settle, PruneJobs and RecordTombstones.
 type Command interface{ command() }
 
 // Configure replaces the configuration if the version of the new one is higher.
@@ -30,7 +30,7 @@
 	Key flow.KeyHash `cbor:"-"`
 }
 
-// Cancel ends a job.
+// Cancel ends a job. If there is none, one that is submitted later is accepted as cancelled; see RecordTombstones.
 type Cancel struct {
 	_    struct{} `cbor:",toarray"`
 	Host string
@@ -104,7 +104,7 @@
 	RunTimes []RunTime `cbor:"-"`
 }
 
-// PruneJobs removes settled jobs that ended before a time.
+// PruneJobs removes settled jobs that ended before a time, and the tombstones of jobs that were cancelled before it.
 type PruneJobs struct {
 	_           struct{} `cbor:",toarray"`
 	EndedBefore clock.Millis
@@ -185,6 +185,7 @@
 	kindSubmitKey
 	kindCancelKey
 	kindSettleTimed
+	kindRecordTombstones
 )
 
 // Encode returns the encoding of a command in the log: a byte for its kind, and its fields in CBOR.
@@ -228,6 +229,8 @@
 		return kindSettleTimed, settleTimed{Settle: c, RunTimes: c.RunTimes}
 	case PruneJobs:
 		return kindPruneJobs, c
+	case RecordTombstones:
+		return kindRecordTombstones, c
 	}
 	return 0, c
 }
@@ -262,6 +265,8 @@
 		return decodeForm[cancelKey](data[1:])
 	case kindSettleTimed:
 		return decodeForm[settleTimed](data[1:])
+	case kindRecordTombstones:
+		return decode[RecordTombstones](data[1:])
 	}
 	return nil, fault.Wrap(fault.ErrCorrupt, "decode command: unknown kind %d", data[0])
 }
--- a/core/ledger/forms_test.go
+++ b/core/ledger/forms_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"vanillabridge/core/expect"
 	"vanillabridge/core/flow"
 	"vanillabridge/core/golden"
 	"vanillabridge/core/ledger"
@@ -106,3 +109,46 @@
 func TestFormsWithoutRunTimes(t *testing.T) {
 	golden.Check(t, "testdata/plain.golden", forms(t, history()))
 }
+
+// cancelledHistory returns commands that cancel a job before it is submitted, as versions without tombstones wrote them.
+func cancelledHistory() []ledger.Command {
+	job := flow.Job{Spec: "x", Steps: []flow.Step{{Count: 1, Estimate: 100}}}
+	return []ledger.Command{
+		ledger.Configure{Config: flow.Config{Version: 1, Queues: []flow.Queue{{Name: "a", Host: "h", Prefix: "/a/", Pool: "p", Attempts: 2}}}},
+		ledger.Cancel{Host: "h", Path: "/a/j", Now: 10},
+		ledger.Submit{Host: "h", Path: "/a/j", Job: job, Now: 20},
+		ledger.Assign{Placements: []ledger.Placement{{Task: task(0, 0), Attempt: 1, Worker: "w", WorkerStartedAt: 1}}, Term: 3},
+		ledger.Settle{Ends: []ledger.AttemptEnd{{Task: task(0, 0), Attempt: 1, End: ledger.EndDone}}, Now: 30, Term: 3, Number: 4},
+		ledger.Configure{Config: teamConfig(2, []string{"ka"}, []string{"kb"})},
+		cancelAs("ka", "/a/k"), submitAs("ka", "/a/k"), cancelAs("kb", "/a/l"),
+		ledger.PruneJobs{EndedBefore: 5},
+	}
+}
+
+// Guards against a log of the version before tombstones that leads to another state now: a replica that replays it from an
+// older snapshot, or that is replaced before the others, would differ from them.
+func TestUnrecordedCancellationsChangeNothing(t *testing.T) {
+	golden.Check(t, "testdata/unrecorded.golden", forms(t, cancelledHistory()))
+}
+
+// Guards against a replica of the version before tombstones that starts from a snapshot with some and then differs from the
+// others: it has to refuse the snapshot.
+func TestEarlierVersionRefusesTombstones(t *testing.T) {
+	s := ledger.New()
+	for _, c := range append(cancelledHistory(), ledger.RecordTombstones{}, cancelAs("ka", "/a/m")) {
+		s.Apply(c)
+	}
+	data := snapshotOf(t, s)
+	var first cbor.RawMessage
+	rest, err := cbor.UnmarshalFirst(data, &first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var asBefore struct {
+		_        struct{} `cbor:",toarray"`
+		RunTimes []expect.Entry
+	}
+	if err := cbor.Unmarshal(rest, &asBefore); err == nil {
+		t.Error("the version before takes a snapshot with tombstones for one without")
+	}
+}
--- a/core/ledger/runtime.go
+++ b/core/ledger/runtime.go
@@ -1,10 +1,7 @@
 package ledger
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"vanillabridge/core/expect"
-	"vanillabridge/core/fault"
 	"vanillabridge/core/flow"
 )
 
@@ -56,39 +53,3 @@
 	f.Settle.RunTimes = f.RunTimes
 	return f.Settle
 }
-
-// learned is the last part of a snapshot: what was learned from finished runs. A state that has learned nothing has no
-// such part, so that its snapshots are as those of versions that learn nothing.
-type learned struct {
-	_        struct{} `cbor:",toarray"`
-	RunTimes []expect.Entry
-}
-
-// appendLearned appends what was learned to the first part of a snapshot.
-func (s *State) appendLearned(data []byte) ([]byte, error) {
-	if s.runTimes.IsEmpty() {
-		return data, nil
-	}
-	part, err := encoder.Marshal(learned{RunTimes: s.runTimes.Entries()})
-	if err != nil {
-		return nil, fault.Wrap(fault.ErrInvalid, "encode run times: %v", err)
-	}
-	return append(data, part...), nil
-}
-
-// cutLearned splits a snapshot into its first part and what was learned.
-func cutLearned(data []byte) ([]byte, *expect.Book, error) {
-	var first cbor.RawMessage
-	rest, err := decoder.UnmarshalFirst(data, &first)
-	if err != nil {
-		return nil, nil, fault.Wrap(fault.ErrCorrupt, "decode snapshot: %v", err)
-	}
-	if len(rest) == 0 {
-		return data, expect.New(), nil
-	}
-	var part learned
-	if err := decoder.Unmarshal(rest, &part); err != nil {
-		return nil, nil, fault.Wrap(fault.ErrCorrupt, "decode run times: %v", err)
-	}
-	return first, expect.Restore(part.RunTimes), nil
-}
--- a/core/ledger/state.go
+++ b/core/ledger/state.go
@@ -25,6 +25,8 @@
 	OutcomeNoJob
 	// OutcomeUnauthorized means that the caller's key belongs to no team and the queue is not public.
 	OutcomeUnauthorized
+	// OutcomeCancelled means that the submitted job was accepted as a cancelled one, because it was cancelled before.
+	OutcomeCancelled
 )
 
 // State is the replicated state. It is not safe for concurrent use.
@@ -39,6 +41,7 @@
 	// latestTime is the highest time in any command. Jobs get it as the time of their end.
 	latestTime clock.Millis
 	runTimes   *expect.Book
+	tombstones tombstones
 }
 
 // queueKey identifies a queue across versions of the configuration, which may change everything else.
@@ -50,7 +53,7 @@
 func New() *State {
 	return &State{
 		jobs: map[model.JobID]*Job{}, workers: map[model.WorkerID]flow.Worker{}, pendingByQueue: map[queueKey]int{},
-		crashes: newCrashes(), runTimes: expect.New(),
+		crashes: newCrashes(), runTimes: expect.New(), tombstones: newTombstones(),
 	}
 }
 
@@ -129,6 +132,9 @@
 		}
 	case PruneJobs:
 		s.pruneJobs(c.EndedBefore)
+		s.tombstones.prune(c.EndedBefore)
+	case RecordTombstones:
+		s.tombstones.enabled = true
 	}
 	return OutcomeDone
 }
@@ -144,25 +150,31 @@
 		return OutcomeNoJob
 	}
 	s.latestTime = max(s.latestTime, c.Now)
-	if j == nil {
-		c.Job.ID = id
-		j = newJob(c, q)
-		j.Team = team
-		s.jobs[id] = j
-		if j.isPending() {
-			s.pendingByQueue[queueKeyOf(q)]++
-		}
+	if j != nil {
+		return OutcomeDone
+	}
+	c.Job.ID = id
+	j = newJob(c, q)
+	j.Team = team
+	s.jobs[id] = j
+	if j.isPending() {
+		s.pendingByQueue[queueKeyOf(q)]++
+	}
+	if _, cancelled := s.findTombstone(q, id, team); cancelled {
+		s.updateJob(j, func() { j.Cancelled = true })
+		return OutcomeCancelled
 	}
 	return OutcomeDone
 }
 
 func (s *State) cancel(c Cancel) Outcome {
-	_, id, team, outcome := s.Resolve(c.Host, c.Path, c.Key)
+	q, id, team, outcome := s.Resolve(c.Host, c.Path, c.Key)
 	if outcome != OutcomeDone {
 		return outcome
 	}
 	j := s.VisibleJob(id, team)
 	if j == nil {
+		s.recordTombstone(c, q, id, team)
 		return OutcomeNoJob
 	}
 	s.latestTime = max(s.latestTime, c.Now)
@@ -257,12 +269,12 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.ErrInvalid, "encode snapshot: %v", err)
 	}
-	return s.appendLearned(data)
+	return s.appendParts(data)
 }
 
 // Restore replaces the state with that of a snapshot.
 func (s *State) Restore(data []byte) error {
-	data, runTimes, err := cutLearned(data)
+	data, runTimes, tombstones, err := cutParts(data)
 	if err != nil {
 		return err
 	}
@@ -272,7 +284,7 @@
 	}
 	*s = *New()
 	s.setConfig(restored.Config)
-	s.latestTime, s.runTimes = restored.Now, runTimes
+	s.latestTime, s.runTimes, s.tombstones = restored.Now, runTimes, tombstones
 	for id, j := range restored.Jobs {
 		s.jobs[id] = j
 		if j.isPending() {
--- /dev/null
+++ b/core/ledger/tombstone.go
@@ -0,0 +1,208 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"vanillabridge/core/clock"
+	"vanillabridge/core/fault"
+	"vanillabridge/core/flow"
+	"vanillabridge/core/model"
+)
+
+const (
+	// maxTombstones is the number of tombstones of all teams together. Each team has an equal part of them, so that a
+	// flood of one team's cancellations drops none of another's.
+	maxTombstones = 65_536
+	// minTeamTombstones is the number of tombstones that a team has at least, however many teams there are.
+	minTeamTombstones = 256
+)
+
+// tombstoneKey identifies a job by its queue and its identifier. It is a hash, so that the room of a tombstone doesn't
+// depend on what callers choose as an identifier.
+type tombstoneKey [16]byte
+
+func tombstoneKeyOf(q flow.Queue, id model.JobID) tombstoneKey {
+	sum := sha256.Sum256([]byte(q.Endpoint() + string(id)))
+	return tombstoneKey(sum[:len(tombstoneKey{})])
+}
+
+// tombstones record the cancellations that named no job, by the team of their caller: the submission may still be on its
+// way, and is then cancelled when it arrives. They aren't jobs.
+type tombstones struct {
+	// enabled is set once all replicas of the domain record tombstones; see RecordTombstones.
+	enabled bool
+	// byTeam holds when the job was last cancelled, since 1970, oldest first.
+	byTeam map[string]*simplelru.LRU[tombstoneKey, clock.Millis]
+	// dropped counts the tombstones that were dropped for want of room. It is not part of a snapshot.
+	dropped uint64
+}
+
+func newTombstones() tombstones {
+	return tombstones{byTeam: map[string]*simplelru.LRU[tombstoneKey, clock.Millis]{}}
+}
+
+// ofTeam returns the tombstones of a team, and creates them if there are none.
+func (ts *tombstones) ofTeam(team string) *simplelru.LRU[tombstoneKey, clock.Millis] {
+	list := ts.byTeam[team]
+	if list == nil {
+		list = must(simplelru.NewLRU[tombstoneKey, clock.Millis](math.MaxInt, nil)) // record limits its size
+		ts.byTeam[team] = list
+	}
+	return list
+}
+
+// record adds a tombstone or renews it, and drops the team's oldest ones beyond a limit.
+func (ts *tombstones) record(team string, key tombstoneKey, at clock.Millis, limit int) {
+	list := ts.ofTeam(team)
+	list.Add(key, at)
+	for list.Len() > limit {
+		list.RemoveOldest()
+		ts.dropped++
+	}
+}
+
+// prune removes the tombstones of jobs that were last cancelled before a time.
+func (ts *tombstones) prune(before clock.Millis) {
+	for team, list := range ts.byTeam {
+		for _, at, ok := list.GetOldest(); ok && at < before; _, at, ok = list.GetOldest() {
+			list.RemoveOldest()
+		}
+		if list.Len() == 0 {
+			delete(ts.byTeam, team)
+		}
+	}
+}
+
+// teamTombstoneLimit returns how many tombstones a team may have.
+func teamTombstoneLimit(a flow.Access) int {
+	callers := len(a.Teams) + 1 // and those without a key
+	return max(maxTombstones/callers, minTeamTombstones)
+}
+
+// recordTombstone records the cancellation of a job that is not known, if all replicas do.
+func (s *State) recordTombstone(c Cancel, q flow.Queue, id model.JobID, team string) {
+	if !s.tombstones.enabled {
+		return
+	}
+	s.latestTime = max(s.latestTime, c.Now)
+	s.tombstones.record(team, tombstoneKeyOf(q, id), s.latestTime, teamTombstoneLimit(s.config.Access))
+}
+
+// findTombstone returns when a job that a team submits now was last cancelled, since 1970, and whether it was: by a
+// caller who might cancel it now too.
+func (s *State) findTombstone(q flow.Queue, id model.JobID, team string) (at clock.Millis, ok bool) {
+	if len(s.tombstones.byTeam) == 0 {
+		return 0, false
+	}
+	key := tombstoneKeyOf(q, id)
+	if team != "" {
+		if list := s.tombstones.byTeam[team]; list != nil {
+			return list.Peek(key)
+		}
+		return 0, false
+	}
+	for _, list := range s.tombstones.byTeam { // a job of no team belongs to all
+		if cancelledAt, found := list.Peek(key); found {
+			at, ok = max(at, cancelledAt), true
+		}
+	}
+	return at, ok
+}
+
+// CancelledBefore returns when the job of a submission was last cancelled, since 1970, if that was before it was
+// submitted.
+func (s *State) CancelledBefore(c Submit) (at clock.Millis, ok bool) {
+	q, id, team, outcome := s.Resolve(c.Host, c.Path, c.Key)
+	if outcome != OutcomeDone || s.jobs[id] != nil {
+		return 0, false
+	}
+	return s.findTombstone(q, id, team)
+}
+
+// RecordsTombstones reports whether cancellations that name no job are recorded.
+func (s *State) RecordsTombstones() bool { return s.tombstones.enabled }
+
+// Tombstones returns the number of tombstones.
+func (s *State) Tombstones() int {
+	n := 0
+	for _, list := range s.tombstones.byTeam {
+		n += list.Len()
+	}
+	return n
+}
+
+// DroppedTombstones returns how many tombstones commands have dropped for want of room since the state was created or
+// restored.
+func (s *State) DroppedTombstones() uint64 { return s.tombstones.dropped }
+
+// RecordTombstones makes replicas record cancellations that name no job from now on. Versions that can't do so skip it,
+// so a leader proposes it only once all members of its group can.
+type RecordTombstones struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+func (RecordTombstones) command() {}
+
+// tombstonePart is the last part of a snapshot if tombstones are recorded. A state that records none has no such part, so
+// that its snapshots are as those of versions that can't.
+type tombstonePart struct {
+	_     struct{} `cbor:",toarray"`
+	Teams []teamTombstones
+}
+
+// teamTombstones holds the tombstones of a team, oldest first.
+type teamTombstones struct {
+	_    struct{} `cbor:",toarray"`
+	Team string
+	List []tombstone
+}
+
+type tombstone struct {
+	_   struct{} `cbor:",toarray"`
+	Key tombstoneKey
+	At  clock.Millis
+}
+
+// encode returns the part of a snapshot with the tombstones.
+func (ts *tombstones) encode() ([]byte, error) {
+	part := tombstonePart{Teams: make([]teamTombstones, 0, len(ts.byTeam))}
+	for _, team := range slices.Sorted(maps.Keys(ts.byTeam)) {
+		list := ts.byTeam[team]
+		t := teamTombstones{Team: team, List: make([]tombstone, 0, list.Len())}
+		for _, key := range list.Keys() {
+			at, _ := list.Peek(key)
+			t.List = append(t.List, tombstone{Key: key, At: at})
+		}
+		part.Teams = append(part.Teams, t)
+	}
+	data, err := encoder.Marshal(part)
+	if err != nil {
+		return nil, fault.Wrap(fault.ErrInvalid, "encode tombstones: %v", err)
+	}
+	return data, nil
+}
+
+// decodeTombstones decodes the last part of a snapshot; a snapshot without one has no data.
+func decodeTombstones(data []byte) (tombstones, error) {
+	ts := newTombstones()
+	if len(data) == 0 {
+		return ts, nil
+	}
+	var part tombstonePart
+	if err := decoder.Unmarshal(data, &part); err != nil {
+		return ts, fault.Wrap(fault.ErrCorrupt, "decode tombstones: %v", err)
+	}
+	ts.enabled = true
+	for _, t := range part.Teams {
+		list := ts.ofTeam(t.Team)
+		for _, x := range t.List {
+			list.Add(x.Key, x.At)
+		}
+	}
+	return ts, nil
+}
