fleet, plan: cancellations of unknown jobs are recorded once all cores can

Change: a leader proposes it once all members of its group, up or not, and all other live cores have answered that they can read it. A late submission is answered like any other that was accepted, and its job is shown as cancelled, as after the same requests in the other order. New lines name a cancellation without a job, the submission that meets it with its age, dropped tombstones, and a process that stood still for over a second; each kind is bounded to 20 lines a second. Metrics count the late submissions, the tombstones and the dropped ones. A cancelled job is not refused as beyond its team's share, and counts for the share as it does for the next leader. TestRequestReplies cancelled the job that it then submitted and expected it to wait: that is the fault.

--- a/core/ledger/tombstone.go
+++ b/core/ledger/tombstone.go
@@ -97,7 +97,7 @@
 // caller who might cancel it now too.
 func (s *State) findTombstone(q flow.Queue, id model.JobID, team string) (at clock.Millis, ok bool) {
 	if len(s.tombstones.byTeam) == 0 {
-		return 0, false
+		return 0, false // saves the hash
 	}
 	key := tombstoneKeyOf(q, id)
 	if team != "" {
@@ -117,6 +117,9 @@
 // CancelledBefore returns when the job of a submission was last cancelled, since 1970, if that was before it was
 // submitted.
 func (s *State) CancelledBefore(c Submit) (at clock.Millis, ok bool) {
+	if len(s.tombstones.byTeam) == 0 {
+		return 0, false
+	}
 	q, id, team, outcome := s.Resolve(c.Host, c.Path, c.Key)
 	if outcome != OutcomeDone || s.jobs[id] != nil {
 		return 0, false
--- a/core/plan/admit_test.go
+++ b/core/plan/admit_test.go
@@ -130,8 +130,12 @@
 	sim := newSimulation(t, 1)
 	sim.configure(newQueue("/a/"))
 	sim.setTeams(flow.Team{Name: "x", Weight: 0.5}, flow.Team{Name: "y", Weight: 0.3})
+	sim.apply(ledger.RecordTombstones{})
 	sim.startLeader()
 	for i := range 80 {
+		if i%12 == 0 {
+			sim.apply(ledger.Cancel{Host: "h", Path: fmt.Sprintf("/a/%03d", 999-i), Now: sim.now, Key: flow.HashKey("x")})
+		}
 		sim.submitFor([]string{"x", "y"}[i%2], "/a/", fmt.Sprintf("%03d", 999-i), flow.Step{Count: 1, Need: smallTask, Estimate: 500})
 		if i%9 == 0 {
 			sim.apply(ledger.Cancel{Host: "h", Path: fmt.Sprintf("/a/%03d", 999-i), Now: sim.now, Key: flow.HashKey("x")})
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -11,8 +11,11 @@
 // TicketsAnswered, CallersChanged and Tick.
 type Event interface{ event() }
 
-// Applied reports that a command was committed and applied to the replicated state.
-type Applied struct{ Command ledger.Command }
+// Applied reports that a command was committed and applied to the replicated state, with its outcome.
+type Applied struct {
+	Command ledger.Command
+	Outcome ledger.Outcome
+}
 
 // HoldAnswered reports a worker's answer to a hold.
 type HoldAnswered struct {
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -112,7 +112,7 @@
 	p.now = max(p.now, now)
 	switch e := e.(type) {
 	case Applied:
-		p.handleApplied(e.Command)
+		p.handleApplied(e)
 	case HoldAnswered:
 		p.handleHoldAnswered(p.now, e)
 	case HoldFailed:
@@ -167,14 +167,18 @@
 	p.queueAcks(hasEnds)
 }
 
-func (p *Planner) handleApplied(c ledger.Command) {
-	switch c := c.(type) {
+func (p *Planner) handleApplied(a Applied) {
+	switch c := a.Command.(type) {
 	case ledger.Submit:
 		_, rest, ok := p.state.Config().LookupQueue(c.Host, c.Path)
 		id := model.JobID(rest)
-		if j := p.state.Job(id); ok && j != nil && p.jobs[id] == nil && !j.IsSettled() {
+		switch j := p.state.Job(id); {
+		case !ok || j == nil || p.jobs[id] != nil:
+		case !j.IsSettled():
 			p.addJob(j)
 			p.noteArrival(p.jobs[id])
+		case a.Outcome == ledger.OutcomeCancelled:
+			p.noteCancelledArrival(j)
 		}
 	case ledger.Cancel:
 		_, rest, _ := p.state.Config().LookupQueue(c.Host, c.Path)
--- a/core/plan/team.go
+++ b/core/plan/team.go
@@ -6,6 +6,7 @@
 
 	"vanillabridge/core/clock"
 	"vanillabridge/core/flow"
+	"vanillabridge/core/ledger"
 	"vanillabridge/core/model"
 	"vanillabridge/core/share"
 )
@@ -99,6 +100,13 @@
 	j.team.meter.Add(&j.arrival)
 }
 
+// noteCancelledArrival counts a job that was accepted as a cancelled one as its team's, as meterJobs does.
+func (p *Planner) noteCancelledArrival(record *ledger.Job) {
+	if t := p.teamOf(record.Team); t != nil {
+		t.meter.Add(&share.Arrival{At: record.AcceptedAt, ID: string(record.Definition.ID)})
+	}
+}
+
 // isOverCap reports whether the team has more running than its cap, because that was lowered.
 func (t *team) isOverCap() bool { return t != nil && !t.allows(t.used) }
 
--- a/core/plan/world_test.go
+++ b/core/plan/world_test.go
@@ -337,9 +337,9 @@
 	if sim.passBeforeApply && sim.planner != nil {
 		sim.execute(sim.term, sim.planner.Step(sim.now, plan.Tick{}))
 	}
-	sim.state.Apply(c)
+	outcome := sim.state.Apply(c)
 	if sim.planner != nil {
-		sim.execute(sim.term, sim.planner.Step(sim.now, plan.Applied{Command: c}))
+		sim.execute(sim.term, sim.planner.Step(sim.now, plan.Applied{Command: c, Outcome: outcome}))
 		if !sim.manyJobs {
 			sim.planner.Stats() // it may be called between any two steps
 		}
--- a/vbridged/fleet/admit.go
+++ b/vbridged/fleet/admit.go
@@ -58,7 +58,7 @@
 }
 
 // admit decides whether a submission may go to the log, and records it if so. A job that is known, or whose submission
-// is on its way, is never refused, so that a refused job isn't accepted. Only a leader under a valid lease knows that,
+// is on its way, is never refused, so that a refused job isn't accepted; nor is one that was cancelled, which needs no share. Only a leader under a valid lease knows that,
 // before and after it looks.
 func (d *Domain) admit(r Request) (id model.JobID, refusal Reply, refused bool) {
 	_, valid := d.validLeaseTerm()
@@ -83,7 +83,8 @@
 		return id, Reply{}, false
 	}
 	_, submitted := s.submissions[id]
-	if mayRefuse && !submitted && d.state.Job(id) == nil {
+	_, cancelled := d.state.CancelledBefore(ledger.Submit{Host: r.Host, Path: r.Path, Key: r.Key})
+	if mayRefuse && !submitted && !cancelled && d.state.Job(id) == nil {
 		if refusal, ok := s.planner.Admit(d.now(), team, id); !ok {
 			version := d.state.Config().Version
 			if logged, skipped := d.refusals.admit(d.now()); logged {
--- a/vbridged/fleet/domain.go
+++ b/vbridged/fleet/domain.go
@@ -32,7 +32,7 @@
 	methodAdvise   = "advise"
 	// methodKeyed carries requests with a key; instances that know no keys have no handler for it.
 	methodKeyed = "keyed"
-	// methodForms is answered by cores that can read commands with teams.
+	// methodForms is answered by cores that can read commands with teams, with the forms that they can read.
 	methodForms = "forms"
 )
 
@@ -59,7 +59,11 @@
 	session *session
 	// announcements holds what workers have announced to this core.
 	announcements announcements
-	refusals      refusalLog
+	refusals      lineLimit
+	// Limits of the lines about tombstones.
+	unknownCancellations, lateSubmissions, tombstoneDrops lineLimit
+	// tombstonesDelayedAt is when this core last logged why tombstones aren't recorded yet.
+	tombstonesDelayedAt clock.Millis
 	// roleTerm is the term of the last role change that the group reported.
 	roleTerm uint64
 }
@@ -162,6 +166,8 @@
 	d.wg.Go(func() { runPeriodically(d.ctx, tickInterval, func() { d.stepPlan(plan.Tick{}) }) })
 	d.wg.Go(func() { runPeriodically(d.ctx, expiryInterval, d.removeExpired) })
 	d.wg.Go(func() { runPeriodically(d.ctx, statsInterval, d.reportPlanStats) })
+	d.wg.Go(func() { runPeriodically(d.ctx, tombstoneCheckInterval, d.beginTombstones) })
+	d.wg.Go(func() { logPauses(d.ctx, d.options.Clock, d.options.JobRetention) })
 	d.wg.Go(func() { d.carrier.run(d.ctx) })
 }
 
@@ -316,9 +322,9 @@
 	d := m.domain
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	outcome := d.state.Apply(c)
+	outcome := d.apply(index, c)
 	if s := d.session; s != nil {
-		d.executeDecisions(s, s.planner.Step(d.now(), plan.Applied{Command: c}))
+		d.executeDecisions(s, s.planner.Step(d.now(), plan.Applied{Command: c, Outcome: outcome}))
 	}
 	return []byte{byte(outcome)}
 }
--- a/vbridged/fleet/export_test.go
+++ b/vbridged/fleet/export_test.go
@@ -40,3 +40,10 @@
 func LogOrder(m *Metrics, term uint64, order plan.Decision, v plan.Verdict) {
 	(&Domain{metrics: m}).orderAnswer(&session{term: term}, order, v, 0, 0)
 }
+
+// RecordsTombstones reports whether this replica records cancellations of unknown jobs.
+func (d *Domain) RecordsTombstones() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.RecordsTombstones()
+}
--- a/vbridged/fleet/fleet_test.go
+++ b/vbridged/fleet/fleet_test.go
@@ -125,7 +125,7 @@
 		want fleet.Reply
 	}{
 		{fleet.KindState, "/a/j", fleet.Reply{Status: fleet.StatusNoJob}},
-		{fleet.KindCancel, "/a/j", fleet.Reply{Status: fleet.StatusNoJob}},
+		{fleet.KindCancel, "/a/x", fleet.Reply{Status: fleet.StatusNoJob}},
 		{fleet.KindSubmit, "/b/j", fleet.Reply{Status: fleet.StatusNoQueue}},
 		{fleet.KindSubmit, "/a/j", fleet.Reply{Status: fleet.StatusDone}},
 		{fleet.KindSubmit, "/a/j", fleet.Reply{Status: fleet.StatusDone}},
--- a/vbridged/fleet/forms.go
+++ b/vbridged/fleet/forms.go
@@ -9,18 +9,37 @@
 	"vanillabridge/core/model"
 )
 
-// checkForms returns an error unless all cores that are up can read commands with teams. It is asked before the first
-// configuration with teams: a replica of an earlier version would skip that, and differ from the others from then on.
-func (d *Domain) checkForms(ctx context.Context) error {
+// forms is a set of commands that a core can read, as it answers methodForms. Each set includes those before it. The answer
+// of versions without tombstones is empty.
+type forms byte
+
+const (
+	formsTeams forms = iota
+	formsTombstones
+)
+
+func (f forms) String() string {
+	if f == formsTeams {
+		return "teams"
+	}
+	return "tombstones"
+}
+
+// checkForms returns an error unless each of the cores can read a set of commands. It is asked before the first command
+// of a set: a replica of an earlier version would skip that, and differ from the others from then on.
+func (d *Domain) checkForms(ctx context.Context, cores []model.Instance, want forms) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout.Duration())
 	defer cancel()
 	var wg sync.WaitGroup
-	cores := d.directory.liveCores(d.now())
 	errs := make([]error, len(cores))
 	for i, core := range cores {
 		wg.Go(func() {
-			if _, err := d.network.CallRaw(ctx, core, methodForms, nil); err != nil {
-				errs[i] = fault.Wrap(fault.ErrUnavailable, "core %s does not say that it can read teams: %v", core, err)
+			answer, err := d.network.CallRaw(ctx, core, methodForms, nil)
+			if err == nil && readForms(answer) < want {
+				err = fault.Wrap(fault.ErrInvalid, "it can read %s only", readForms(answer))
+			}
+			if err != nil {
+				errs[i] = fault.Wrap(fault.ErrUnavailable, "core %s does not say that it can read %s: %v", core, want, err)
 			}
 		})
 	}
@@ -28,5 +47,14 @@
 	return errors.Join(errs...)
 }
 
-// handleForms answers that this core can read commands with teams.
-func handleForms(context.Context, model.Instance, []byte) ([]byte, error) { return nil, nil }
+func readForms(answer []byte) forms {
+	if len(answer) == 0 {
+		return formsTeams
+	}
+	return forms(answer[0])
+}
+
+// handleForms answers which commands this core can read.
+func handleForms(context.Context, model.Instance, []byte) ([]byte, error) {
+	return []byte{byte(formsTombstones)}, nil
+}
--- a/vbridged/fleet/front.go
+++ b/vbridged/fleet/front.go
@@ -58,6 +58,7 @@
 func (f *Front) Serve(l net.Listener) {
 	f.network.Serve(l)
 	f.wg.Go(f.trackLeader)
+	f.wg.Go(func() { logPauses(f.ctx, f.options.Clock, f.options.JobRetention) })
 }
 
 // Stop closes the connections to other instances and waits for the front's goroutines.
--- a/vbridged/fleet/metrics.go
+++ b/vbridged/fleet/metrics.go
@@ -35,6 +35,10 @@
 	relayWorkers  *prometheus.GaugeVec
 	relayBatches  *prometheus.GaugeVec
 	relayAge      *prometheus.GaugeVec
+
+	tombstones        prometheus.Gauge
+	lateSubmissions   prometheus.Counter
+	droppedTombstones prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them with r.
@@ -55,6 +59,11 @@
 		r.MustRegister(g)
 		return g
 	}
+	total := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+		r.MustRegister(c)
+		return c
+	}
 	gauges := func(name, help, label string) *prometheus.GaugeVec {
 		g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, []string{label})
 		r.MustRegister(g)
@@ -87,6 +96,9 @@
 		relayWorkers:      gauges("vb_relay_workers", "Workers whose calls a core carries, at the leader.", "relay"),
 		relayBatches:      gauges("vb_relay_batches", "Batches of a relay that the leader of this term has got.", "relay"),
 		relayAge:          gauges("vb_relay_age_seconds", "Time since the newest batch of a relay, at the leader.", "relay"),
+		tombstones:        gauge("vb_tombstones", "Recorded cancellations of unknown jobs, at the leader."),
+		lateSubmissions:   total("vb_late_submissions_total", "Submissions that arrived after their cancellation, at the leader."),
+		droppedTombstones: total("vb_dropped_tombstones_total", "Recorded cancellations of unknown jobs that were dropped for want of room."),
 	}
 }
 
--- a/vbridged/fleet/perform.go
+++ b/vbridged/fleet/perform.go
@@ -270,8 +270,9 @@
 		d.mu.Unlock()
 		return
 	}
-	stats, calls := s.planner.Stats(), s.countWorkerCalls()
+	stats, calls, tombstones := s.planner.Stats(), s.countWorkerCalls(), d.state.Tombstones()
 	d.mu.Unlock()
+	d.metrics.tombstones.Set(float64(tombstones))
 	d.metrics.setPlanGauges(stats)
 	teams := d.metrics.teams.set(stats.Teams)
 	d.metrics.setWorkerCalls(calls, s.budget)
--- a/vbridged/fleet/refuse.go
+++ b/vbridged/fleet/refuse.go
@@ -9,21 +9,21 @@
 	"vanillabridge/core/ledger"
 )
 
-// maxRefusalsLogged is how many refusals the leader logs in refusalWindow. A flood of wrong keys leaves room in the
-// log for everything else; the fronts still log each request.
+// maxRefusalsLogged is how many lines of one kind a core logs in refusalWindow. A flood of wrong keys, or of cancellations
+// of unknown jobs, leaves room in the log for everything else; the fronts still log each request.
 const (
 	maxRefusalsLogged = 20
 	refusalWindow     = clock.Second
 )
 
-// refusalLog bounds the log lines about refused keys.
-type refusalLog struct {
+// lineLimit bounds the log lines of one kind.
+type lineLimit struct {
 	since           clock.Millis
 	logged, skipped int
 }
 
-// admit reports whether a refusal is logged, and how many before it were not.
-func (l *refusalLog) admit(now clock.Millis) (ok bool, skipped int) {
+// admit reports whether a line is logged, and how many before it were not.
+func (l *lineLimit) admit(now clock.Millis) (ok bool, skipped int) {
 	if now-l.since >= refusalWindow {
 		l.since, l.logged = now, 0
 	}
--- a/vbridged/fleet/removed_test.go
+++ b/vbridged/fleet/removed_test.go
@@ -76,9 +76,9 @@
 	}).Status
 }
 
-// Guards against a removed key that works again: at a core that starts from an old copy of its data folder, at the next
-// leader, and after all cores have restarted.
-func TestRemovedKeyStaysRemoved(t *testing.T) {
+// startCores starts a domain of three cores and a front.
+func startCores(t *testing.T) ([]*core, *fleet.Front) {
+	t.Helper()
 	var cores []*core
 	var seeds []peer.Address
 	for range 3 {
@@ -96,7 +96,13 @@
 	f := fleet.NewFront(newOptions(addr, seeds...), fleet.NewMetrics(prometheus.NewRegistry()))
 	f.Serve(l)
 	t.Cleanup(f.Stop)
+	return cores, f
+}
 
+// Guards against a removed key that works again: at a core that starts from an old copy of its data folder, at the next
+// leader, and after all cores have restarted.
+func TestRemovedKeyStaysRemoved(t *testing.T) {
+	cores, f := startCores(t)
 	configure(t, cores[0].domain, keyConfig(1, "old", "new"))
 	waitFor(t, "an accepted submission", func() bool { return submitAs(f, "old", "/a/first") == fleet.StatusDone })
 	cores[2].stop()
--- a/vbridged/fleet/request.go
+++ b/vbridged/fleet/request.go
@@ -85,7 +85,7 @@
 
 func statusOf(o ledger.Outcome) Status {
 	switch o {
-	case ledger.OutcomeDone:
+	case ledger.OutcomeDone, ledger.OutcomeCancelled:
 		return StatusDone
 	case ledger.OutcomeNoConfig:
 		return StatusNoConfig
@@ -98,3 +98,11 @@
 	}
 	return StatusUnknown
 }
+
+// replyOf returns the status of the reply to a change, and its reason if there is one.
+func replyOf(o ledger.Outcome) (s Status, reason string) {
+	if o == ledger.OutcomeCancelled {
+		reason = reasonCancelledBefore
+	}
+	return statusOf(o), reason
+}
--- a/vbridged/fleet/serve.go
+++ b/vbridged/fleet/serve.go
@@ -156,7 +156,7 @@
 	}
 	reply := Reply{Status: StatusUnknown, Version: d.config().Version}
 	if len(result) == 1 {
-		reply.Status = statusOf(ledger.Outcome(result[0]))
+		reply.Status, reply.Reason = replyOf(ledger.Outcome(result[0]))
 	}
 	if reply.Status == StatusUnauthorized && key == r.Key { // a newer version was committed before the command
 		d.mu.Lock()
@@ -165,7 +165,7 @@
 		d.mu.Unlock()
 	}
 	klog.InfoS("request committed", "request", r.ID, "kind", r.Kind, "path", r.Path, "from", from,
-		"status", reply.Status, "version", reply.Version)
+		"status", reply.Status, "reason", reply.Reason, "version", reply.Version)
 	return reply, nil
 }
 
@@ -319,7 +319,7 @@
 		return err
 	}
 	if c.Access.Enforced && !d.config().Access.Enforced {
-		if err := d.checkForms(ctx); err != nil {
+		if err := d.checkForms(ctx, d.directory.liveCores(d.now()), formsTeams); err != nil {
 			return err
 		}
 	}
--- a/vbridged/fleet/versions_test.go
+++ b/vbridged/fleet/versions_test.go
@@ -152,7 +152,7 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		if err := d.checkForms(t.Context()); errors.Is(err, fault.ErrUnavailable) == canRead || (err == nil) != canRead {
+		if err := d.checkForms(t.Context(), d.directory.liveCores(1000), formsTeams); errors.Is(err, fault.ErrUnavailable) == canRead || (err == nil) != canRead {
 			t.Errorf("core that can read teams, %t: error %v", canRead, err)
 		}
 		if !canRead {
