--- a/vbridged/fleet/pause.go
+++ b/vbridged/fleet/pause.go
@@ -11,7 +11,7 @@
 
 const (
 	// pauseCheckInterval is the period of the timer that shows whether the process stood still.
-	pauseCheckInterval = clock.Second
+	pauseCheckInterval = 250 * clock.Millisecond
 	// minPause is the delay of that timer from which on it is logged.
 	minPause = clock.Second
 )
