fleet: a refusal after an attempt of unknown outcome is unknown

The front had sent the submission, stood still, and sent it again after its queue was removed. Cause: settleRefusal turned only StatusRefused into unknown. No such queue, an unknown key, an invalid request or a missing configuration were passed on, though the first attempt may have been accepted under the configuration before. Change: after such an attempt only answers that the log decides for both stay: done, and no such job. The caller gets 504 and sends the request again. Result: TestRefusalAfterUnknownAttemptIsUnknown failed for five statuses before.

--- a/vbridged/fleet/admit.go
+++ b/vbridged/fleet/admit.go
@@ -102,10 +102,12 @@
 }
 
 // settleRefusal returns the reply of the leader to a front that may have sent the request before: what was refused now
-// may have been accepted then.
+// may have been accepted then, before a configuration without its queue or key, or with less room. Only an answer that the
+// log decides for both attempts stays: done, or no such job.
 func settleRefusal(reply Reply, noEffect bool) Reply {
-	if reply.Status == StatusRefused && !noEffect {
-		return Reply{Status: StatusUnknown, Reason: "refused after an attempt whose outcome is unknown"}
+	if noEffect || reply.Status == StatusDone || reply.Status == StatusNoJob {
+		return reply
 	}
-	return reply
+	reason := "after an attempt whose outcome is unknown: " + string(reply.Status)
+	return Reply{Status: StatusUnknown, Reason: reason, Version: reply.Version, Term: reply.Term}
 }
--- a/vbridged/fleet/admit_test.go
+++ b/vbridged/fleet/admit_test.go
@@ -95,14 +95,20 @@
 	return sum
 }
 
-// Guards against a front that tells a caller that a job is refused, although an earlier attempt may have been accepted.
+// Guards against a front that tells a caller that a job is refused, or that its queue or key doesn't exist, although an
+// earlier attempt may have been accepted: the front stood still after it, and the answer to it came too late (REFUSED).
 func TestRefusalAfterUnknownAttemptIsUnknown(t *testing.T) {
-	refusal := Reply{Status: StatusRefused, RetryAfter: 1000}
-	if got := settleRefusal(refusal, true); got != refusal {
-		t.Errorf("a refusal of the only attempt becomes %+v", got)
-	}
-	if got := settleRefusal(refusal, false); got.Status != StatusUnknown {
-		t.Errorf("a refusal after an attempt with an unknown outcome becomes %+v", got)
+	for status, want := range map[Status]Status{
+		StatusDone: StatusDone, StatusNoJob: StatusNoJob, StatusRefused: StatusUnknown, StatusNoQueue: StatusUnknown,
+		StatusUnauthorized: StatusUnknown, StatusInvalid: StatusUnknown, StatusNoConfig: StatusUnknown, StatusUnknown: StatusUnknown,
+	} {
+		reply := Reply{Status: status, RetryAfter: 1000, Version: 7, Term: 3}
+		if got := settleRefusal(reply, true); got != reply {
+			t.Errorf("%s in reply to the only attempt becomes %+v", status, got)
+		}
+		if got := settleRefusal(reply, false); got.Status != want || got.Version != 7 || got.Term != 3 {
+			t.Errorf("%s after an attempt with an unknown outcome becomes %+v, want %s", status, got, want)
+		}
 	}
 }
 
--- a/vbridged/fleet/front.go
+++ b/vbridged/fleet/front.go
@@ -216,7 +216,7 @@
 		}
 		reason = fault.Text(err)
 		if errors.Is(err, fault.ErrInvalid) || errors.Is(err, fault.ErrTooLarge) {
-			return Reply{Status: StatusInvalid, Reason: reason}, attempts
+			return settleRefusal(Reply{Status: StatusInvalid, Reason: reason}, noEffect), attempts
 		}
 		if !isRetryableElsewhere(err) && r.Kind != KindState && r.Kind != KindPending {
 			noEffect = false
