tombs, ledger: tombstones are a coordination part of their own

Cause: the zones of the daemon have the same fault as domains had, and need the same memory; a second copy of it would be a defect. Change: core/tombs has the bounded set; core/ledger keeps one for each team. Result: encodings and states are as before (TestTombstonesSurviveRestart and the golden files); TestSetIsListOfNewest compares the set with a plain list, 5,000 drawn runs.

--- a/core/ledger/tombstone.go
+++ b/core/ledger/tombstone.go
@@ -1,17 +1,14 @@
 package ledger
 
 import (
-	"crypto/sha256"
 	"maps"
-	"math"
 	"slices"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
-
 	"vanillabridge/core/clock"
 	"vanillabridge/core/fault"
 	"vanillabridge/core/flow"
 	"vanillabridge/core/model"
+	"vanillabridge/core/tombs"
 )
 
 const (
@@ -22,57 +19,27 @@
 	minTeamTombstones = 256
 )
 
-// tombstoneKey identifies a job by its queue and its identifier. It is a hash, so that the room of a tombstone doesn't
-// depend on what callers choose as an identifier.
-type tombstoneKey [16]byte
-
-func tombstoneKeyOf(q flow.Queue, id model.JobID) tombstoneKey {
-	sum := sha256.Sum256([]byte(q.Endpoint() + string(id)))
-	return tombstoneKey(sum[:len(tombstoneKey{})])
-}
-
 // tombstones record the cancellations that named no job, by the team of their caller: the submission may still be on its
 // way, and is then cancelled when it arrives. They aren't jobs.
 type tombstones struct {
 	// enabled is set once all replicas of the domain record tombstones; see RecordTombstones.
 	enabled bool
-	// byTeam holds when the job was last cancelled, since 1970, oldest first.
-	byTeam map[string]*simplelru.LRU[tombstoneKey, clock.Millis]
+	byTeam  map[string]*tombs.Set
 	// dropped counts the tombstones that were dropped for want of room. It is not part of a snapshot.
 	dropped uint64
 }
 
-func newTombstones() tombstones {
-	return tombstones{byTeam: map[string]*simplelru.LRU[tombstoneKey, clock.Millis]{}}
-}
+func newTombstones() tombstones { return tombstones{byTeam: map[string]*tombs.Set{}} }
 
-// ofTeam returns the tombstones of a team, and creates them if there are none.
-func (ts *tombstones) ofTeam(team string) *simplelru.LRU[tombstoneKey, clock.Millis] {
-	list := ts.byTeam[team]
-	if list == nil {
-		list = must(simplelru.NewLRU[tombstoneKey, clock.Millis](math.MaxInt, nil)) // record limits its size
-		ts.byTeam[team] = list
-	}
-	return list
-}
-
-// record adds a tombstone or renews it, and drops the team's oldest ones beyond a limit.
-func (ts *tombstones) record(team string, key tombstoneKey, at clock.Millis, limit int) {
-	list := ts.ofTeam(team)
-	list.Add(key, at)
-	for list.Len() > limit {
-		list.RemoveOldest()
-		ts.dropped++
-	}
+// tombstoneKey identifies a job by its queue and its identifier.
+func tombstoneKey(q flow.Queue, id model.JobID) tombs.Key {
+	return tombs.KeyOf(q.Endpoint() + string(id))
 }
 
 // prune removes the tombstones of jobs that were last cancelled before a time.
 func (ts *tombstones) prune(before clock.Millis) {
-	for team, list := range ts.byTeam {
-		for _, at, ok := list.GetOldest(); ok && at < before; _, at, ok = list.GetOldest() {
-			list.RemoveOldest()
-		}
-		if list.Len() == 0 {
+	for team, set := range ts.byTeam {
+		if set.Prune(before); set.Len() == 0 {
 			delete(ts.byTeam, team)
 		}
 	}
@@ -90,7 +57,12 @@
 		return
 	}
 	s.latestTime = max(s.latestTime, c.Now)
-	s.tombstones.record(team, tombstoneKeyOf(q, id), s.latestTime, teamTombstoneLimit(s.config.Access))
+	set := s.tombstones.byTeam[team]
+	if set == nil {
+		set = tombs.New()
+		s.tombstones.byTeam[team] = set
+	}
+	s.tombstones.dropped += uint64(set.Record(tombstoneKey(q, id), s.latestTime, teamTombstoneLimit(s.config.Access)))
 }
 
 // findTombstone returns when a job that a team submits now was last cancelled, since 1970, and whether it was: by a
@@ -99,15 +71,15 @@
 	if len(s.tombstones.byTeam) == 0 {
 		return 0, false // saves the hash
 	}
-	key := tombstoneKeyOf(q, id)
+	key := tombstoneKey(q, id)
 	if team != "" {
-		if list := s.tombstones.byTeam[team]; list != nil {
-			return list.Peek(key)
+		if set := s.tombstones.byTeam[team]; set != nil {
+			return set.Find(key)
 		}
 		return 0, false
 	}
-	for _, list := range s.tombstones.byTeam { // a job of no team belongs to all
-		if cancelledAt, found := list.Peek(key); found {
+	for _, set := range s.tombstones.byTeam { // a job of no team belongs to all
+		if cancelledAt, found := set.Find(key); found {
 			at, ok = max(at, cancelledAt), true
 		}
 	}
@@ -133,8 +105,8 @@
 // Tombstones returns the number of tombstones.
 func (s *State) Tombstones() int {
 	n := 0
-	for _, list := range s.tombstones.byTeam {
-		n += list.Len()
+	for _, set := range s.tombstones.byTeam {
+		n += set.Len()
 	}
 	return n
 }
@@ -162,26 +134,14 @@
 type teamTombstones struct {
 	_    struct{} `cbor:",toarray"`
 	Team string
-	List []tombstone
-}
-
-type tombstone struct {
-	_   struct{} `cbor:",toarray"`
-	Key tombstoneKey
-	At  clock.Millis
+	List []tombs.Entry
 }
 
 // encode returns the part of a snapshot with the tombstones.
 func (ts *tombstones) encode() ([]byte, error) {
 	part := tombstonePart{Teams: make([]teamTombstones, 0, len(ts.byTeam))}
 	for _, team := range slices.Sorted(maps.Keys(ts.byTeam)) {
-		list := ts.byTeam[team]
-		t := teamTombstones{Team: team, List: make([]tombstone, 0, list.Len())}
-		for _, key := range list.Keys() {
-			at, _ := list.Peek(key)
-			t.List = append(t.List, tombstone{Key: key, At: at})
-		}
-		part.Teams = append(part.Teams, t)
+		part.Teams = append(part.Teams, teamTombstones{Team: team, List: ts.byTeam[team].Entries()})
 	}
 	data, err := encoder.Marshal(part)
 	if err != nil {
@@ -202,10 +162,7 @@
 	}
 	ts.enabled = true
 	for _, t := range part.Teams {
-		list := ts.ofTeam(t.Team)
-		for _, x := range t.List {
-			list.Add(x.Key, x.At)
-		}
+		ts.byTeam[t.Team] = tombs.New(t.List...)
 	}
 	return ts, nil
 }
