state, server: a run that arrives after its cancellation is cancelled

The daemon answers the cancellation of an unknown job with "not found", and its run, still on its way from a caller or an instance that stood still, then started. Change: the zone's state records such a cancellation before it is answered, for as long as ended jobs are kept (24 h), 65,536 at most, the oldest dropped first with a log line. A run that meets it is accepted as cancelled, with the reason. Services are not affected. A tombstone counts as no older than those before it, for the clock of the next leader may be behind. Ruled out: a field in CancelJob (versions before would apply the rest of the entry).

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -29,7 +29,8 @@
 }
 
 // CancelJob ends all tasks of a job: waiting tasks immediately, tasks on a worker once the
-// worker has stopped them. The tasks end as failed if Failed is set, otherwise as cancelled.
+// worker has stopped them. The tasks end as failed if Failed is set, otherwise as cancelled. If there is no such job, one
+// that is added later is cancelled; see RecordTombstones.
 type CancelJob struct {
 	Job    model.JobID  `cbor:"1,keyasint"`
 	Reason string       `cbor:"2,keyasint"`
@@ -146,6 +147,8 @@
 	DropRecord   *DropRecord   `cbor:"10,keyasint,omitempty"`
 	Expire       *Expire       `cbor:"11,keyasint,omitempty"`
 	Batch        []envelope    `cbor:"12,keyasint,omitempty"`
+
+	RecordTombstones *RecordTombstones `cbor:"13,keyasint,omitempty"`
 }
 
 // EncodeCommand encodes c for the log.
@@ -185,6 +188,8 @@
 		e.DropRecord = &c
 	case Expire:
 		e.Expire = &c
+	case RecordTombstones:
+		e.RecordTombstones = &c
 	case Batch:
 		for _, item := range c.Commands {
 			e.Batch = append(e.Batch, wrap(item))
@@ -217,6 +222,8 @@
 		return *e.DropRecord, nil
 	case e.Expire != nil:
 		return *e.Expire, nil
+	case e.RecordTombstones != nil:
+		return *e.RecordTombstones, nil
 	case e.Batch != nil:
 		return e.unwrapBatch()
 	default:
--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -9,7 +9,11 @@
 func (z *Zone) addJob(c AddJob) (Result, []Change) {
 	job, ok := z.data.Jobs[c.Job]
 	if !ok {
-		z.data.Jobs[c.Job] = newJob(c)
+		job = newJob(c)
+		z.data.Jobs[c.Job] = job
+		if late := z.cancelIfLate(job, c.At); late != nil {
+			return Result{Changed: true}, late
+		}
 		return Result{Changed: true}, []Change{JobAdded{Job: c.Job}}
 	}
 	if c.Work.Service == nil || job.Work.Service == nil {
@@ -66,7 +70,7 @@
 func (z *Zone) cancelJob(c CancelJob) (Result, []Change) {
 	job, ok := z.data.Jobs[c.Job]
 	if !ok {
-		return Result{Reason: "no such job"}, nil
+		return z.cancelUnknownJob(c)
 	}
 	if job.Cancelled || job.OpenTasks == 0 {
 		return Result{Reason: "the job has ended"}, nil
--- a/core/state/records.go
+++ b/core/state/records.go
@@ -81,6 +81,11 @@
 			changed = true
 		}
 	}
+	if z.RecordsTombstones() {
+		before := z.tombstones.Len()
+		z.tombstones.Prune(c.At - endedJobRetention)
+		changed = changed || z.tombstones.Len() < before
+	}
 	return Result{Changed: changed}
 }
 
--- a/core/state/zone.go
+++ b/core/state/zone.go
@@ -5,6 +5,7 @@
 	"vanillabridge/core/model"
 	"vanillabridge/core/once"
 	"vanillabridge/core/proto"
+	"vanillabridge/core/tombs"
 )
 
 // endedJobRetention is how long the record of an ended job is kept for status queries.
@@ -63,6 +64,7 @@
 	data         zoneData
 	recordsByKey map[once.Key]*recordEntry
 	activeTasks  map[model.WorkerID]map[model.TaskID]struct{}
+	tombstones   *tombs.Set // of jobs, or nil while none are recorded
 }
 
 // NewZone returns an empty state.
@@ -75,19 +77,26 @@
 // Snapshot encodes the complete state.
 func (z *Zone) Snapshot() ([]byte, error) {
 	z.compactRecords()
+	if z.RecordsTombstones() {
+		return Encode(zoneDataWithTombstones{Zone: z.data, Tombstones: z.tombstones.Entries()})
+	}
 	return Encode(z.data)
 }
 
 // Restore replaces the state with that of a snapshot.
 func (z *Zone) Restore(snapshot []byte) error {
-	data := zoneData{}
+	data, tombstones := zoneData{}, (*tombs.Set)(nil)
 	if err := Decode(snapshot, &data); err != nil {
-		return err
+		var with zoneDataWithTombstones
+		if Decode(snapshot, &with) != nil {
+			return err
+		}
+		data, tombstones = with.Zone, tombs.New(with.Tombstones...)
 	}
 	if data.Jobs == nil {
 		data.Jobs = map[model.JobID]*Job{}
 	}
-	z.data = data
+	z.data, z.tombstones = data, tombstones
 	z.rebuildIndexes()
 	return nil
 }
@@ -133,6 +142,8 @@
 		return z.dropRecord(c), nil
 	case Expire:
 		return z.expire(c), nil
+	case RecordTombstones:
+		return z.recordTombstones()
 	case Batch:
 		return z.applyBatch(c)
 	default:
--- a/core/state/zone_test.go
+++ b/core/state/zone_test.go
@@ -31,7 +31,7 @@
 		return once.Token{Number: rapid.Uint64Range(1, 3).Draw(t, "number")}
 	})
 	return rapid.Custom(func(t *rapid.T) state.Command {
-		switch rapid.IntRange(0, 11).Draw(t, "kind") {
+		switch rapid.IntRange(0, 12).Draw(t, "kind") {
 		case 0:
 			return state.AdoptConfig{Version: rapid.Uint64Range(0, 5).Draw(t, "version"), At: now}
 		case 1:
@@ -65,6 +65,8 @@
 			}}
 		case 9:
 			return state.DropRecord{Key: key.Draw(t, "key"), Token: token.Draw(t, "token"), At: now}
+		case 12:
+			return state.RecordTombstones{}
 		default:
 			return state.Expire{At: now}
 		}
--- a/core/tombs/tombs.go
+++ b/core/tombs/tombs.go
@@ -26,10 +26,10 @@
 	At  clock.Millis
 }
 
-// Set is a bounded set of tombstones with the time of each, which must not decrease from one call of Record to the next. It
-// is not safe for concurrent use.
+// Set is a bounded set of tombstones with the time of each. It is not safe for concurrent use.
 type Set struct {
-	byKey *simplelru.LRU[Key, clock.Millis] // oldest first
+	byKey  *simplelru.LRU[Key, clock.Millis] // oldest first
+	newest clock.Millis                      // time of the newest tombstone, or 0 if there is none
 }
 
 // New returns a set of tombstones, oldest first.
@@ -38,15 +38,24 @@
 	if err != nil {
 		panic(err) // unreachable: the size is positive
 	}
+	s := &Set{byKey: byKey}
 	for _, e := range list {
-		byKey.Add(e.Key, e.At)
+		s.add(e.Key, e.At)
 	}
-	return &Set{byKey: byKey}
+	return s
 }
 
-// Record adds a tombstone or renews it, drops the oldest ones beyond a limit, and returns how many it has dropped.
+// add adds or renews a tombstone. The clock of one leader may be behind that of the one before it; a tombstone counts as
+// no older than those before it.
+func (s *Set) add(k Key, at clock.Millis) {
+	s.newest = max(s.newest, at)
+	s.byKey.Add(k, s.newest)
+}
+
+// Record adds a tombstone or renews it, drops the oldest ones beyond a limit, which is at least 1, and returns how many it
+// has dropped.
 func (s *Set) Record(k Key, at clock.Millis, limit int) (dropped int) {
-	s.byKey.Add(k, at)
+	s.add(k, at)
 	for ; s.byKey.Len() > limit; dropped++ {
 		s.byKey.RemoveOldest()
 	}
@@ -61,6 +70,9 @@
 	for _, at, ok := s.byKey.GetOldest(); ok && at < before; _, at, ok = s.byKey.GetOldest() {
 		s.byKey.RemoveOldest()
 	}
+	if s.Len() == 0 {
+		s.newest = 0
+	}
 }
 
 // Len returns the number of tombstones.
--- a/core/tombs/tombs_test.go
+++ b/core/tombs/tombs_test.go
@@ -19,7 +19,7 @@
 		set, now := tombs.New(), clock.Millis(0)
 		var want []tombs.Entry
 		for range rapid.IntRange(1, 60).Draw(rt, "calls") {
-			now += clock.Millis(rapid.IntRange(0, 3).Draw(rt, "passes"))
+			now = max(1, now+clock.Millis(rapid.IntRange(-3, 6).Draw(rt, "passes")))
 			switch rapid.IntRange(0, 4).Draw(rt, "call") {
 			case 0:
 				before := now - clock.Millis(rapid.IntRange(0, 20).Draw(rt, "age"))
@@ -29,8 +29,13 @@
 				set = tombs.New(set.Entries()...)
 			default:
 				k, limit := tombs.KeyOf(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(rt, "name")), rapid.IntRange(1, 4).Draw(rt, "limit")
+				before := slices.Clone(want)
 				want = slices.DeleteFunc(want, func(e tombs.Entry) bool { return e.Key == k })
-				want = append(want, tombs.Entry{Key: k, At: now})
+				at := now
+				if n := len(before); n > 0 {
+					at = max(at, before[n-1].At) // the clock of the next leader may be behind
+				}
+				want = append(want, tombs.Entry{Key: k, At: at})
 				surplus := max(0, len(want)-limit)
 				want = want[surplus:]
 				if got := set.Record(k, now, limit); got != surplus {
--- a/vbridged/sched/change.go
+++ b/vbridged/sched/change.go
@@ -17,6 +17,8 @@
 		l.handleJobAdded(now, c.Job)
 	case state.JobCancelled:
 		l.handleJobCancelled(now, c.Job)
+	case state.LateJobCancelled:
+		l.handleJobCancelled(now, c.Job)
 	case state.TaskAssigned:
 		l.handleTaskAssigned(c.Assignment)
 	case state.TaskStarted:
--- a/vbridged/server/configs.go
+++ b/vbridged/server/configs.go
@@ -54,6 +54,7 @@
 	if _, ok := c.(state.ConfigChanged); ok {
 		s.applyConfig()
 	}
+	logTombstones(c)
 	s.sched.NotifyChange(c)
 }
 
--- a/vbridged/server/jobs.go
+++ b/vbridged/server/jobs.go
@@ -6,6 +6,8 @@
 	"errors"
 	"strings"
 
+	"k8s.io/klog/v2"
+
 	"vanillabridge/core/fault"
 	"vanillabridge/core/model"
 	"vanillabridge/core/proto"
@@ -124,17 +126,24 @@
 	return reply, nil
 }
 
+// cancelInZone cancels a job of this zone. That there is no such job is recorded before it is answered, because its run may
+// still be on its way.
 func (s *Server) cancelInZone(ctx context.Context, id model.JobID) (proto.JobReply, error) {
 	reply, err := s.jobInZone(ctx, id)
-	if err != nil {
+	unknown := errors.Is(err, fault.ErrNotFound)
+	if err != nil && !unknown {
 		return reply, err
 	}
 	if reply.Work.Service != nil {
 		return reply, fault.Wrap(fault.ErrInvalid, "job %s is a service; remove it from the configuration", id)
 	}
-	if _, err := s.zoneLog.Propose(ctx, state.CancelJob{Job: id, Reason: "cancelled by an operator", At: s.clock.Now()}); err != nil {
+	result, err := s.zoneLog.Propose(ctx, state.CancelJob{Job: id, Reason: "cancelled by an operator", At: s.clock.Now()})
+	if err != nil {
 		return proto.JobReply{}, err
 	}
+	if unknown {
+		klog.InfoS("cancellation names no job", "job", id, "zone", s.settings.Instance.Zone, "recorded", result.Changed)
+	}
 	return s.jobInZone(ctx, id)
 }
 
--- a/vbridged/server/server.go
+++ b/vbridged/server/server.go
@@ -40,13 +40,15 @@
 	zone      *zone.Replica
 	zoneGroup *group.Group
 	zoneLog   zone.Log
-	cell      *cell.Replica
-	cellGroup *group.Group
-	witnesses map[string]*group.Group // groups of other zones that this instance is a witness of, by group name
-	sched     *sched.Scheduler
-	entry     *entry.Entry
-	http      *http.Server
-	config    atomic.Pointer[parsedConfig]
+	// tombstonesDelayedAt is when this instance last logged why cancellations of unknown jobs aren't recorded yet.
+	tombstonesDelayedAt clock.Millis
+	cell                *cell.Replica
+	cellGroup           *group.Group
+	witnesses           map[string]*group.Group // groups of other zones that this instance is a witness of, by group name
+	sched               *sched.Scheduler
+	entry               *entry.Entry
+	http                *http.Server
+	config              atomic.Pointer[parsedConfig]
 
 	drainOnce      sync.Once
 	drainRequested chan struct{} // closed when a planned stop is requested
@@ -140,6 +142,7 @@
 	wait.Go(func() { s.entry.Run(runCtx) })
 	wait.Go(func() { runEvery(runCtx, adoptInterval, func() { s.adoptConfig(runCtx) }) })
 	wait.Go(func() { runEvery(runCtx, leaseRefreshInterval, s.refreshLeaderLease) })
+	wait.Go(func() { runEvery(runCtx, tombstoneCheckInterval, func() { s.beginTombstones(runCtx) }) })
 	wait.Go(func() { runEvery(runCtx, traceFlushInterval, s.flushTrace) })
 	failed := make(chan error, 1)
 	go func() { failed <- s.http.Serve(callers) }()
--- a/vbridged/server/server_test.go
+++ b/vbridged/server/server_test.go
@@ -241,3 +241,37 @@
 		}
 	}
 }
+
+// Guards against a run that starts although its cancellation was answered before it arrived: a caller or an instance stood
+// still, and nothing remembered the answer.
+func TestRunIsCancelledAfterItsCancellation(t *testing.T) {
+	i := newInstance(t)
+	if status, _ := i.submit("k", 1); status != http.StatusOK {
+		t.Fatalf("configuration: status %d", status)
+	}
+	// Cancellations are recorded soon after the first start.
+	run := 0
+	i.waitUntil("a late run that is cancelled", func() bool {
+		run++
+		label := fmt.Sprint("early-", run)
+		i.call(http.MethodDelete, "/v1/jobs/plan/"+label, nil, nil)
+		var job proto.JobReply
+		i.call(http.MethodPost, "/v1/jobs", proto.RunRequest{Name: "plan", RunLabel: label}, &job)
+		return job.Counts.Cancelled > 0
+	})
+	if status := i.call(http.MethodDelete, "/v1/jobs/plan/late", nil, nil); status != http.StatusNotFound {
+		t.Fatalf("cancellation of an unknown job: status %d, want %d", status, http.StatusNotFound)
+	}
+	if status := i.call(http.MethodGet, "/v1/jobs/plan/late", nil, nil); status != http.StatusNotFound {
+		t.Errorf("a job that was not submitted: status %d, want %d", status, http.StatusNotFound)
+	}
+	i.stopAndWait()
+	i.start()
+	var job proto.JobReply
+	if status := i.call(http.MethodPost, "/v1/jobs", proto.RunRequest{Name: "plan", RunLabel: "late"}, &job); status != http.StatusOK {
+		t.Errorf("late run: status %d, want %d", status, http.StatusOK)
+	}
+	if want := (proto.Counts{Cancelled: 3}); job.Counts != want || job.Reason == "" {
+		t.Errorf("late run: %+v with reason %q, want %+v with a reason", job.Counts, job.Reason, want)
+	}
+}
--- a/vbridged/server/wire.go
+++ b/vbridged/server/wire.go
@@ -28,6 +28,7 @@
 	methodCancel  = "cancel"
 	methodRecord  = "record"
 	methodStatus  = "status"
+	methodForms   = "forms"
 )
 
 // groupTransport sends messages of consensus groups to other instances.
@@ -80,6 +81,7 @@
 	s.transport.Handle(methodCancel, handlerFor(s.cancelInZone))
 	s.transport.Handle(methodRecord, handlerFor(s.commitRecord))
 	s.transport.Handle(methodStatus, handlerFor(s.localStatus))
+	s.transport.Handle(methodForms, handlerFor(localForms))
 }
 
 // handlerFor wraps f as a handler that decodes the parameters and bounds the call by callTimeout.
