plan, fleet, server: explain names a job that was cancelled before it is submitted

Cause: platform explain said that such a job would start now. Change: it would be refused in the sense of explain, with the reason. The members of a group are listed without sharing memory with its status, and a field of the server is beside its like. Result: the question of another team is answered as before (TestExplain...).

--- a/core/plan/explain.go
+++ b/core/plan/explain.go
@@ -124,6 +124,8 @@
 		e.refuse("No team holds the caller's key.", "The key of a team would.")
 	case p.state.Job(id) != nil:
 		e.refuse("The identifier is not free.", "Another identifier would.")
+	case p.isCancelled(q):
+		e.refuse("A job with this identifier was cancelled before it was submitted: it would be accepted as cancelled.", "Another identifier would.")
 	default:
 		if err := q.Job.Check(); err != nil {
 			e.refuse("The job is invalid: "+fault.Text(err)+".", "A valid one would.")
@@ -134,6 +136,12 @@
 	return e
 }
 
+// isCancelled reports whether the job of a question was cancelled before it is submitted.
+func (p *Planner) isCancelled(q Question) bool {
+	_, cancelled := p.state.CancelledBefore(ledger.Submit{Host: q.Host, Path: q.Path, Key: q.Key})
+	return cancelled
+}
+
 func (e *Explanation) refuse(reason, change string) {
 	e.Outlook, e.Reason, e.Change = OutlookRefused, reason, change
 }
--- a/core/plan/explain_test.go
+++ b/core/plan/explain_test.go
@@ -171,6 +171,14 @@
 	if e := sim.explain("stranger", "/a/new", step); e.Outlook != plan.OutlookRefused {
 		t.Errorf("a key of no team: %s: %s", e.Outlook, e.Reason)
 	}
+	sim.apply(ledger.RecordTombstones{})
+	sim.apply(ledger.Cancel{Host: "h", Path: "/a/gone", Now: sim.now, Key: flow.HashKey("x")})
+	if e := sim.explain("x", "/a/gone", step); e.Outlook != plan.OutlookRefused || e.Step != nil {
+		t.Errorf("a job that was cancelled before: %+v", e)
+	}
+	if e := sim.explain("y", "/a/gone", step); e.Outlook == plan.OutlookRefused {
+		t.Errorf("a job that another team cancelled before: %+v", e)
+	}
 	if e := sim.explain("x", "/a/1", step); e.Outlook != plan.OutlookRefused || e.Step != nil || e.Phase != "" {
 		t.Errorf("the identifier of another team's job: %+v", e)
 	}
--- a/vbridged/fleet/tombstones.go
+++ b/vbridged/fleet/tombstones.go
@@ -33,7 +33,7 @@
 		return
 	}
 	status := d.group.Status()
-	err := d.checkForms(s.ctx, d.otherCores(append(status.Voters, status.Learners...)), formsTombstones)
+	err := d.checkForms(s.ctx, d.otherCores(slices.Concat(status.Voters, status.Learners)), formsTombstones)
 	if err != nil {
 		d.logTombstonesDelayed(s.term, err)
 		return
--- a/vbridged/server/server.go
+++ b/vbridged/server/server.go
@@ -40,21 +40,21 @@
 	zone      *zone.Replica
 	zoneGroup *group.Group
 	zoneLog   zone.Log
-	// tombstonesDelayedAt is when this instance last logged why cancellations of unknown jobs aren't recorded yet.
-	tombstonesDelayedAt clock.Millis
-	cell                *cell.Replica
-	cellGroup           *group.Group
-	witnesses           map[string]*group.Group // groups of other zones that this instance is a witness of, by group name
-	sched               *sched.Scheduler
-	entry               *entry.Entry
-	http                *http.Server
-	config              atomic.Pointer[parsedConfig]
+	cell      *cell.Replica
+	cellGroup *group.Group
+	witnesses map[string]*group.Group // groups of other zones that this instance is a witness of, by group name
+	sched     *sched.Scheduler
+	entry     *entry.Entry
+	http      *http.Server
+	config    atomic.Pointer[parsedConfig]
 
 	drainOnce      sync.Once
 	drainRequested chan struct{} // closed when a planned stop is requested
 	hasCaughtUp    atomic.Bool   // set once caughtUp has returned true
 
 	leaderSeenAtMs atomic.Int64 // last time at which a leader of the zone group was known, on clock
+	// tombstonesDelayedAt is when this instance last logged why cancellations of unknown jobs aren't recorded yet.
+	tombstonesDelayedAt clock.Millis
 }
 
 // Options configures a Server.
