--- a/core/plan/leave_test.go
+++ b/core/plan/leave_test.go
@@ -101,3 +101,25 @@
 		}
 	}
 }
+
+// Guards against tasks that are given to a worker which has left, because an older announcement of it arrives after it was
+// removed: nothing remembers that it is gone, so only its answer to a hold may make it usable.
+func TestLateAnnouncementOfWorkerThatHasLeftBringsNoTasks(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.leaveWithTasks()
+	f.alive = false
+	sim.run(6 * clock.Second)
+	before := sim.countStarts()
+	late := f.Worker
+	late.Leaving, late.Seq = false, 1
+	sim.apply(ledger.RegisterWorker{Worker: late})
+	sim.submit("/a/", "2", flow.Step{Count: 2, Need: workerSize, Estimate: clock.Second})
+	sim.run(50 * clock.Second)
+	sim.requireCompleted()
+	if got := sim.countStarts() - before; got != 2 {
+		sim.failf("%d starts after the announcement, want 2 on the other worker", got)
+	}
+	if n := len(sim.state.Workers()); n != 1 {
+		sim.failf("the state has %d workers, want 1: the one that left is dismissed again", n)
+	}
+}
