--- a/vbridged/fleet/admit.go
+++ b/vbridged/fleet/admit.go
@@ -58,8 +58,8 @@
 }
 
 // admit decides whether a submission may go to the log, and records it if so. A job that is known, or whose submission
-// is on its way, is never refused, so that a refused job isn't accepted; nor is one that was cancelled, which needs no share. Only a leader under a valid lease knows that,
-// before and after it looks.
+// is on its way, is never refused, so that a refused job isn't accepted; nor is one that was cancelled, which needs no
+// share. Only a leader under a valid lease knows that, before and after it looks.
 func (d *Domain) admit(r Request) (id model.JobID, refusal Reply, refused bool) {
 	_, valid := d.validLeaseTerm()
 	id, refusal, refused = d.decideSubmission(r, valid)
--- a/vbridged/server/tombstones.go
+++ b/vbridged/server/tombstones.go
@@ -69,7 +69,7 @@
 	var forms formsReply
 	err := s.transport.Call(ctx, name, methodForms, struct{}{}, &forms)
 	if err == nil && !forms.Tombstones {
-		err = fault.Wrap(fault.ErrInvalid, "it can't")
+		err = fault.Wrap(fault.ErrInvalid, "it answers that it can't")
 	}
 	if err != nil {
 		return fault.Wrap(fault.ErrUnavailable, "instance %s does not say that it can read tombstones: %v", name, err)
