ledger: the schedules of late requests draw frozen fronts, slow links and lost answers

Cause: the property test drew only when a request arrives. Nothing in it lost a leader between an entry and its answer, so that a front sends the request again. Change: fronts stand still at drawn times, links delay what they send, and a leader is lost before it commits or before its answer arrives. The limits keep each request from arriving later than records are kept, by any leader's clock.

--- a/core/ledger/late_test.go
+++ b/core/ledger/late_test.go
@@ -15,17 +15,25 @@
 	"vanillabridge/core/model"
 )
 
-// Limits of the drawn schedules. A request may arrive at any time in lateWindow, in any order: the instance that had it
-// stood still, its link was slow, or it was sent again. The record of an answer is kept longer than the latest of them.
+// Limits of the drawn schedules. Together they keep each request from arriving later than the record of an answer to an
+// earlier one is kept, by any leader's clock.
 const (
-	lateWindow    = 100 * clock.Second
+	// sendWindow is the time in which clients send.
+	sendWindow = 60 * clock.Second
+	// maxFreeze is how long a front stands still at most, and maxFreezes how often.
+	maxFreeze  = 20 * clock.Second
+	maxFreezes = 2
+	// maxLinkDelay is how long a request is on its way from a front to the leader.
+	maxLinkDelay = 10 * clock.Second
+	// lateRetention is how long the records of ended jobs and of cancellations are kept, pruneInterval how often those
+	// that are older are removed.
 	lateRetention = 120 * clock.Second
 	pruneInterval = 10 * clock.Second
 	// maxClockError is how far the clock of a leader may be from that of the next one.
 	maxClockError = 5 * clock.Second
 )
 
-// lateRequest is a request of a client that arrives at the leader at a drawn time.
+// lateRequest is a request that arrives at the leader at a drawn time.
 type lateRequest struct {
 	at       clock.Millis
 	command  ledger.Command // Now is set when it arrives
@@ -33,6 +41,30 @@
 	stranger bool // of another team than that of the job
 }
 
+// lateFront is a front with the times in which it stands still, in order.
+type lateFront struct{ freezes [][2]clock.Millis }
+
+func drawFront(t *rapid.T) lateFront {
+	var f lateFront
+	end := clock.Millis(0)
+	for range rapid.IntRange(0, maxFreezes).Draw(t, "freezes") {
+		begin := end + clock.Millis(rapid.Int64Range(0, int64(sendWindow/2)).Draw(t, "freeze begins after"))
+		end = begin + clock.Millis(rapid.Int64Range(1, int64(maxFreeze)).Draw(t, "freeze lasts"))
+		f.freezes = append(f.freezes, [2]clock.Millis{begin, end})
+	}
+	return f
+}
+
+// sendsAt returns when the front hands on what reaches it at a time.
+func (f lateFront) sendsAt(at clock.Millis) clock.Millis {
+	for _, freeze := range f.freezes {
+		if at >= freeze[0] && at < freeze[1] {
+			at = freeze[1]
+		}
+	}
+	return at
+}
+
 // lateWorld is a group of replicas that apply one log, of which one leads.
 type lateWorld struct {
 	log      [][]byte
@@ -98,11 +130,10 @@
 
 // disturb changes the leader, takes a snapshot, or restarts a replica from its snapshot and the log.
 func (w *lateWorld) disturb(t *rapid.T) {
-	i := rapid.IntRange(0, len(w.replicas)-1).Draw(t, "replica")
-	r := &w.replicas[i]
+	r := &w.replicas[rapid.IntRange(0, len(w.replicas)-1).Draw(t, "replica")]
 	switch rapid.SampledFrom([]string{"lead", "snapshot", "restart"}).Draw(t, "disturbance") {
 	case "lead":
-		w.leader = i
+		w.changeLeader(t)
 	case "snapshot":
 		data, err := r.state.Snapshot()
 		if err != nil {
@@ -121,6 +152,24 @@
 	w.catchUp(t, w.leader)
 }
 
+// handle serves a request. The leader may be lost before it commits it, or after that and before its answer arrives; the
+// front then sends the request to the next one.
+func (w *lateWorld) handle(t *rapid.T, r lateRequest) {
+	switch rapid.SampledFrom([]string{"answered", "answered", "not committed", "answer lost"}).Draw(t, "attempt") {
+	case "not committed":
+		w.changeLeader(t)
+	case "answer lost":
+		w.serve(t, r)
+		w.changeLeader(t)
+	}
+	w.serve(t, r)
+}
+
+func (w *lateWorld) changeLeader(t *rapid.T) {
+	w.leader = rapid.IntRange(0, len(w.replicas)-1).Draw(t, "next leader")
+	w.catchUp(t, w.leader)
+}
+
 // serve has the leader commit a request, and notes what its client learns.
 func (w *lateWorld) serve(t *rapid.T, r lateRequest) {
 	switch c := r.command.(type) {
@@ -183,11 +232,15 @@
 	return ""
 }
 
-// drawLateRequests draws jobs, each with some submissions and cancellations, and cancellations by another team.
+// drawLateRequests draws jobs, each with some submissions and cancellations, and cancellations by another team, through
+// fronts that stand still at times.
 func drawLateRequests(t *rapid.T) []lateRequest {
 	var list []lateRequest
+	fronts := []lateFront{drawFront(t), drawFront(t), drawFront(t)}
 	add := func(r lateRequest) {
-		r.at = clock.Millis(rapid.Int64Range(0, int64(lateWindow)).Draw(t, "arrives"))
+		front := rapid.SampledFrom(fronts).Draw(t, "front")
+		sent := clock.Millis(rapid.Int64Range(0, int64(sendWindow)).Draw(t, "sent"))
+		r.at = front.sendsAt(sent) + clock.Millis(rapid.Int64Range(0, int64(maxLinkDelay)).Draw(t, "on its way"))
 		list = append(list, r)
 	}
 	for i := range rapid.IntRange(1, 8).Draw(t, "jobs") {
@@ -224,7 +277,7 @@
 			lastPrune = w.now
 			w.propose(t, ledger.PruneJobs{EndedBefore: w.leaderNow() - lateRetention})
 		}
-		w.serve(t, r)
+		w.handle(t, r)
 		if v := w.violation(); v != "" {
 			return v
 		}
@@ -232,8 +285,8 @@
 	return w.differences(t)
 }
 
-// Guards against an answer to a cancellation that a later arrival of the submission makes untrue: through requests that
-// arrive late, repeatedly and in any order, changes of the leader, and restarts from a snapshot and the log; and against
+// Guards against an answer to a cancellation that a later arrival of the submission makes untrue: through fronts that stand
+// still, slow links, repeated requests, lost leaders and answers, and restarts from a snapshot and the log; and against
 // a job that is cancelled by a stranger, shown or counted without having been submitted, or lost on the way.
 func TestAnsweredCancellationsHoldWhateverArrivesLate(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
